Serve a request through ingress, owner and target

A thin whole path in separate processes: stand-in platform and targets, three nodes with two targets each. The owner is the only way to its workers; non-idempotent work is offered, held and then sent once.

tests/test_fleet/test_fleet_thin.py starts the processes and sends 60 requests; all 6 targets answer, an internal route is refused outside.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV = .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+PACKAGES = packages/schema packages/node packages/standins packages/cli
+
+.PHONY: setup demo test check format generate docs fuzz clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -r requirements.txt -c constraints.txt
+	$(BIN)/python -m pip install -q --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m sardinedoor_standins.demo $(DEMO)
+
+check: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python tools/generate.py --check
+
+test: check docs
+	$(BIN)/python -m pytest
+
+docs: setup
+	$(BIN)/sphinx-build -q -W -b html docs docs/_build/html
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+generate: setup
+	$(BIN)/python tools/generate.py
+
+clean:
+	rm -rf $(VENV) docs/_build build out
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs beside the workers of one instance."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and status for operators."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/admin/server.py
@@ -0,0 +1,53 @@
+"""HTTP listener for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import renderer
+import msgspec
+from tornado import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aioprometheus import collectors
+
+
+class _MetricsHandler(web.RequestHandler):
+    def initialize(self, registry: collectors.Registry) -> None:
+        self._registry = registry
+
+    def get(self) -> None:
+        accepts = self.request.headers.get_list("Accept")
+        content, found = renderer.render(self._registry, accepts)
+        for name, value in found.items():
+            self.set_header(name, value)
+        self.finish(content)
+
+
+class _StatusHandler(web.RequestHandler):
+    def initialize(self, status: Callable[[], object]) -> None:
+        self._status = status
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(self._status()))
+
+
+def make_application(
+    registry: collectors.Registry, status: Callable[[], object]
+) -> web.Application:
+    """Builds the application of the admin listener.
+
+    Args:
+        registry: The node's metrics.
+        status: Returns what the status page shows.
+    """
+    return web.Application(
+        [
+            ("/metrics", _MetricsHandler, {"registry": registry}),
+            ("/status", _StatusHandler, {"status": status}),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""The part of a node that takes callers' requests to targets."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/ingress/exchanges.py
@@ -0,0 +1,49 @@
+"""Correlates replies with the exchanges of this incarnation."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sardinedoor_node import link
+    from sardinedoor_node import metrics
+    from sardinedoor_schema import base
+
+
+class ExchangeTable:
+    """Inboxes of running exchanges by correlation id."""
+
+    def __init__(self, incarnation: bytes, counters: metrics.Metrics):
+        """Starts empty.
+
+        Args:
+            incarnation: Random bytes that no other process has.
+            counters: Where late replies are counted.
+        """
+        self._incarnation = incarnation
+        self._metrics = counters
+        self._counter = 0
+        self._inboxes: dict[bytes, asyncio.Queue] = {}
+
+    def open(self) -> tuple[bytes, asyncio.Queue]:
+        """Returns a new correlation id and its inbox."""
+        self._counter += 1
+        exchange_id = self._incarnation + struct.pack(">Q", self._counter)
+        inbox: asyncio.Queue = asyncio.Queue()
+        self._inboxes[exchange_id] = inbox
+        return exchange_id, inbox
+
+    def close(self, exchange_id: bytes) -> None:
+        """Forgets an exchange; what still arrives for it is dropped."""
+        self._inboxes.pop(exchange_id, None)
+
+    def on_message(self, channel: link.Channel, message: base.Message) -> None:
+        """Puts a held, reply or refusal into its inbox."""
+        del channel
+        inbox = self._inboxes.get(message.id)
+        if inbox is None:
+            self._metrics.dropped("late")
+            return
+        inbox.put_nowait(message)
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -0,0 +1,46 @@
+"""Messages between nodes."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sardinedoor_schema import base
+
+
+class Channel(abc.ABC):
+    """One way to send messages to one peer."""
+
+    @abc.abstractmethod
+    def send(self, message: base.Message) -> bool:
+        """Sends a message, or refuses at once.
+
+        Args:
+            message: An instance of a wire class.
+
+        Returns:
+            False if it was certainly not sent. True promises nothing: the
+            message may arrive late, or never.
+        """
+
+
+Receiver = Callable[[Channel, "base.Message"], None]
+
+
+class Transport(abc.ABC):
+    """Opens channels to peers and hands on what peers send."""
+
+    @abc.abstractmethod
+    def connect(self, name: str, address: str) -> Channel:
+        """Returns the channel to a peer, opened if there is none.
+
+        Args:
+            name: Name of the peer.
+            address: IP number and port of the peer's link listener.
+        """
+
+    @abc.abstractmethod
+    def on_message(self, cls: type[base.Message], receiver: Receiver) -> None:
+        """Registers the receiver of one class of messages."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -0,0 +1,170 @@
+"""Transport over ZeroMQ: one ROUTER bound, one DEALER for each peer."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+import zmq
+import zmq.asyncio
+
+from sardinedoor_node import link
+from sardinedoor_node.link import dispatch
+from sardinedoor_node.link import local
+from sardinedoor_node.util import tasks
+from sardinedoor_schema import frames
+
+if TYPE_CHECKING:
+    from sardinedoor_node import metrics
+    from sardinedoor_schema import base
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_INTERVAL_MS = 300
+HEARTBEAT_TIMEOUT_MS = 900
+_QUEUE_FRAMES = 1000
+
+
+def _configure(socket: zmq.Socket) -> None:
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, _QUEUE_FRAMES)
+    socket.setsockopt(zmq.RCVHWM, _QUEUE_FRAMES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.MAXMSGSIZE, frames.MAX_FRAME_BYTES)
+
+
+class DealerChannel(link.Channel):
+    """Sends over a DEALER that is connected to the peer's ROUTER."""
+
+    def __init__(self, socket: zmq.asyncio.Socket, plain: zmq.Socket):
+        self.socket = socket
+        self._plain = plain
+
+    def send(self, message: base.Message) -> bool:
+        """See base class."""
+        try:
+            self._plain.send(frames.encode(message), zmq.DONTWAIT)
+        except zmq.ZMQError:
+            return False
+        return True
+
+
+class RouterChannel(link.Channel):
+    """Sends to one peer that has connected to the ROUTER."""
+
+    def __init__(self, plain: zmq.Socket, identity: bytes):
+        self._plain = plain
+        self._identity = identity
+
+    def send(self, message: base.Message) -> bool:
+        """See base class."""
+        parts = [self._identity, frames.encode(message)]
+        try:
+            self._plain.send_multipart(parts, zmq.DONTWAIT)
+        except zmq.ZMQError:
+            return False
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    address: str
+    channel: DealerChannel
+    task: object
+
+
+class ZeromqTransport(link.Transport):
+    """Links of one node."""
+
+    def __init__(self, own_name: str, counters: metrics.Metrics):
+        """Prepares the transport; nothing is bound yet.
+
+        Args:
+            own_name: Name of the node, to which it has a local channel.
+            counters: Where dropped frames are counted.
+        """
+        self._context = zmq.asyncio.Context()
+        self._dispatcher = dispatch.Dispatcher(counters)
+        self._local = local.LocalChannel(self._dispatcher)
+        self._own_name = own_name
+        self._peers: dict[str, _Peer] = {}
+        self._tasks = tasks.TaskGroup()
+        self._router: zmq.asyncio.Socket | None = None
+
+    def on_message(
+        self, cls: type[base.Message], receiver: link.Receiver
+    ) -> None:
+        """See base class."""
+        self._dispatcher.register(cls, receiver)
+
+    def bind(self, address: str) -> None:
+        """Listens for peers.
+
+        Args:
+            address: IP number and port.
+
+        Raises:
+            zmq.ZMQError: The address can't be bound.
+        """
+        router = self._context.socket(zmq.ROUTER)
+        _configure(router)
+        router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        router.bind(f"tcp://{address}")
+        self._router = router
+        self._tasks.spawn(self._serve(router), "link-router")
+
+    def connect(self, name: str, address: str) -> link.Channel:
+        """See base class."""
+        if name == self._own_name:
+            return self._local
+        peer = self._peers.get(name)
+        if peer is not None and peer.address == address:
+            return peer.channel
+        if peer is not None:
+            self.disconnect(name)
+        dealer = self._context.socket(zmq.DEALER)
+        _configure(dealer)
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.connect(f"tcp://{address}")
+        channel = DealerChannel(dealer, zmq.Socket.shadow(dealer.underlying))
+        task = self._tasks.spawn(self._receive(channel), f"link-{name}")
+        self._peers[name] = _Peer(address, channel, task)
+        return channel
+
+    def disconnect(self, name: str) -> None:
+        """Closes the link to a peer."""
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            peer.task.cancel()
+            peer.channel.socket.close()
+
+    async def _serve(self, router: zmq.asyncio.Socket) -> None:
+        plain = zmq.Socket.shadow(router.underlying)
+        channels: dict[bytes, RouterChannel] = {}
+        while True:
+            parts = await router.recv_multipart()
+            if len(parts) != 2:
+                continue
+            identity, frame = parts
+            channel = channels.get(identity)
+            if channel is None:
+                channel = RouterChannel(plain, identity)
+                channels[identity] = channel
+            self._dispatcher.receive(channel, frame)
+
+    async def _receive(self, channel: DealerChannel) -> None:
+        while True:
+            parts = await channel.socket.recv_multipart()
+            self._dispatcher.receive(channel, parts[-1])
+
+    async def close(self) -> None:
+        """Closes all links."""
+        await self._tasks.cancel()
+        for peer in self._peers.values():
+            peer.channel.socket.close()
+        self._peers.clear()
+        if self._router is not None:
+            self._router.close()
+        self._context.term()
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who exists, who is alive, and which workers they own."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/metrics.py
@@ -0,0 +1,51 @@
+"""Counters and gauges of the daemon."""
+
+from __future__ import annotations
+
+import aioprometheus
+from aioprometheus import collectors
+
+from sardinedoor_schema import codes
+
+
+class Metrics:
+    """All metrics of one node, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = collectors.Registry()
+        self._results = self._counter(
+            "sardinedoor_results_total", "Requests by result code."
+        )
+        self._retries = self._counter(
+            "sardinedoor_retries_total", "Further attempts by reason."
+        )
+        self._dropped = self._counter(
+            "sardinedoor_frames_dropped_total", "Frames dropped by reason."
+        )
+        self._events = self._counter(
+            "sardinedoor_events_total", "Internal events by kind."
+        )
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def result(self, code: codes.Code) -> None:
+        """Counts a request's result."""
+        labels = {
+            "code": str(int(code)),
+            "reason": code.name.lower(),
+            "outcome": codes.outcome(code).value,
+        }
+        self._results.inc(labels)
+
+    def retry(self, reason: str) -> None:
+        """Counts a further attempt."""
+        self._retries.inc({"reason": reason})
+
+    def dropped(self, reason: str) -> None:
+        """Counts a frame that was dropped."""
+        self._dropped.inc({"reason": reason})
+
+    def event(self, kind: str) -> None:
+        """Counts an internal event."""
+        self._events.inc({"kind": kind})
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The part of a node through which all work reaches its own workers."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -0,0 +1,187 @@
+"""HTTP client for one worker; it never sends a request twice."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+from tornado import tcpclient
+
+from sardinedoor_schema import codes
+
+if TYPE_CHECKING:
+    from sardinedoor_schema.generated import wire
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+_CHUNK_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class TargetReply:
+    """A whole answer, or the code that tells why there is none."""
+
+    code: codes.Code
+    status: int = 0
+    headers: httputil.HTTPHeaders = dataclasses.field(
+        default_factory=httputil.HTTPHeaders
+    )
+    body: bytes = b""
+
+
+class _Collector(httputil.HTTPMessageDelegate):
+    """Collects one response."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.finished = False
+
+    def headers_received(
+        self,
+        start_line: httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.finished = True
+
+
+class TargetClient:
+    """Connections to one worker.
+
+    Idempotent requests reuse idle connections. Other requests take a fresh
+    one, so that a connection which died while idle can't leave them unknown.
+    """
+
+    def __init__(self, address: str):
+        """Remembers the address.
+
+        Args:
+            address: IP number and port of the worker.
+        """
+        host, _, port = address.rpartition(":")
+        self._host = host.strip("[]")
+        self._port = int(port)
+        self._address = address
+        self._tcp = tcpclient.TCPClient()
+        self._idle: list[iostream.IOStream] = []
+
+    async def run(
+        self, request: wire.Request, idempotent: bool, remaining_s: float
+    ) -> TargetReply:
+        """Sends a request once and reads the whole answer.
+
+        Args:
+            request: What to send.
+            idempotent: Whether an idle connection may be used.
+            remaining_s: Time left, in s.
+
+        Returns:
+            The answer, or a code that tells whether the request was sent.
+        """
+        stream = self._take_idle() if idempotent else None
+        if stream is None:
+            connect_s = min(CONNECT_TIMEOUT_S, remaining_s)
+            stream = await self._connect(connect_s)
+        if stream is None:
+            return TargetReply(codes.Code.CONNECT_FAILED)
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await self._exchange(stream, request)
+        except TimeoutError:
+            stream.close()
+            return TargetReply(codes.Code.TARGET_TIMEOUT)
+        except BaseException:
+            stream.close()
+            raise
+
+    def _take_idle(self) -> iostream.IOStream | None:
+        while self._idle:
+            stream = self._idle.pop()
+            if not stream.closed():
+                return stream
+        return None
+
+    async def _connect(self, timeout_s: float) -> iostream.IOStream | None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await self._tcp.connect(self._host, self._port)
+        except (OSError, TimeoutError, iostream.StreamClosedError):
+            return None
+        stream.set_nodelay(True)
+        return stream
+
+    async def _exchange(
+        self, stream: iostream.IOStream, request: wire.Request
+    ) -> TargetReply:
+        connection = http1connection.HTTP1Connection(
+            stream,
+            True,
+            http1connection.HTTP1ConnectionParameters(
+                chunk_size=_CHUNK_BYTES,
+                max_header_size=MAX_HEADER_BYTES,
+                max_body_size=MAX_REPLY_BYTES,
+            ),
+        )
+        collector = _Collector()
+        try:
+            await connection.write_headers(
+                httputil.RequestStartLine(
+                    request.method, request.path, "HTTP/1.1"
+                ),
+                self._headers(request),
+                request.body or None,
+            )
+            connection.finish()
+            await connection.read_response(collector)
+        except (OSError, iostream.StreamClosedError, httputil.HTTPInputError):
+            stream.close()
+            return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
+        return self._result(stream, collector)
+
+    def _headers(self, request: wire.Request) -> httputil.HTTPHeaders:
+        headers = httputil.HTTPHeaders()
+        for header in request.headers:
+            headers.add(header.name, header.value)
+        headers["Host"] = headers.get("Host", self._address)
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(request.body))
+        return headers
+
+    def _result(
+        self, stream: iostream.IOStream, collector: _Collector
+    ) -> TargetReply:
+        if not collector.finished:
+            stream.close()
+            if collector.status:
+                return TargetReply(codes.Code.REPLY_TRUNCATED)
+            return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
+        connection = collector.headers.get("Connection", "")
+        if connection.lower() == "close":
+            stream.close()
+        elif not stream.closed():
+            self._idle.append(stream)
+        return TargetReply(
+            codes.Code.ANSWERED,
+            collector.status,
+            collector.headers,
+            b"".join(collector.chunks),
+        )
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for stream in self._idle:
+            stream.close()
+        self._idle.clear()
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of the platform's configuration service."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the node and of the teams."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by all parts of the daemon."""
--- /dev/null
+++ b/packages/schema/src/sardinedoor_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, settings and result codes shared by all packages."""
--- /dev/null
+++ b/packages/schema/src/sardinedoor_schema/codes.py
@@ -0,0 +1,100 @@
+"""Numbered result codes; each belongs to exactly one outcome."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Outcome(enum.Enum):
+    """What a caller may believe about a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Code(enum.IntEnum):
+    """Result codes: 1xxx answered, 2xxx not run, 3xxx unknown."""
+
+    ANSWERED = 1000
+    ANSWERED_BEFORE = 1001
+
+    BAD_REQUEST = 2001
+    HEADERS_TOO_LARGE = 2002
+    BODY_TOO_LARGE = 2003
+    AMBIGUOUS_FRAMING = 2004
+    TOO_MANY_CONNECTIONS = 2005
+    NO_ROUTE = 2010
+    METHOD_NOT_ALLOWED = 2011
+    NO_TARGET = 2020
+    NODE_STARTING = 2021
+    NODE_LEAVING = 2022
+    NOT_OWNER = 2023
+    QUEUE_FULL = 2024
+    DEADLINE_EXPIRED = 2025
+    TICKET_LAPSED = 2026
+    LINK_DOWN = 2027
+    HOLD_TIMEOUT = 2028
+    CONNECT_FAILED = 2029
+    NOT_HOME = 2030
+    QUARANTINED = 2031
+    RETRY_BUDGET_SPENT = 2032
+    HOME_UNREACHABLE = 2033
+    ORGANISATION_OVER_SHARE = 2034
+    FRAME_INVALID = 2035
+    INTERNAL_ERROR_BEFORE_RUN = 2099
+
+    REPLY_TIMEOUT = 3001
+    LINK_LOST = 3002
+    TARGET_CONNECTION_LOST = 3003
+    REPLY_TRUNCATED = 3004
+    KEY_NOT_COVERED = 3005
+    TARGET_TIMEOUT = 3006
+    INTERNAL_ERROR_AFTER_RUN = 3099
+
+
+_STATUS = {
+    Code.BAD_REQUEST: 400,
+    Code.HEADERS_TOO_LARGE: 431,
+    Code.BODY_TOO_LARGE: 413,
+    Code.AMBIGUOUS_FRAMING: 400,
+    Code.NO_ROUTE: 404,
+    Code.METHOD_NOT_ALLOWED: 405,
+    Code.DEADLINE_EXPIRED: 504,
+    Code.ORGANISATION_OVER_SHARE: 429,
+    Code.REPLY_TIMEOUT: 504,
+    Code.TARGET_TIMEOUT: 504,
+    Code.LINK_LOST: 502,
+    Code.TARGET_CONNECTION_LOST: 502,
+    Code.REPLY_TRUNCATED: 502,
+    Code.INTERNAL_ERROR_BEFORE_RUN: 500,
+    Code.INTERNAL_ERROR_AFTER_RUN: 500,
+}
+
+
+def outcome(code: int) -> Outcome:
+    """Tells the outcome of a code.
+
+    Args:
+        code: A result code; one this version doesn't know is allowed.
+
+    Returns:
+        The outcome; codes outside 1xxx and 2xxx are UNKNOWN.
+    """
+    if 1000 <= code < 2000:
+        return Outcome.ANSWERED
+    if 2000 <= code < 3000:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def http_status(code: int) -> int:
+    """Tells the HTTP status that a caller gets for a refusal.
+
+    Args:
+        code: A result code that is not an answer.
+
+    Returns:
+        The status; 503 where no other fits.
+    """
+    return _STATUS.get(code, 503)
--- /dev/null
+++ b/packages/standins/src/sardinedoor_standins/target.py
@@ -0,0 +1,159 @@
+"""Stand-in of a target; it logs every run and can be made to fail."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import signal
+import time
+from typing import Annotated
+
+import msgspec
+from tornado import web
+import typer
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """How a target treats real work; probes have their own settings."""
+
+    service_ms: float = 5.0
+    error_share: float = 0.0
+    slow_factor: float = 1.0
+    hang: bool = False
+    crash_on: str = ""
+    probe_status: int = 200
+    cold_start_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One execution of a request."""
+
+    request_id: str
+    method: str
+    path: str
+    started: float
+    finished: float = 0.0
+    status: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """State of one target."""
+
+    name: str
+    slots: int
+    behaviour: Behaviour
+    runs: list[Run]
+    rng: random.Random
+    running: int = 0
+
+
+class _WorkHandler(web.RequestHandler):
+    SUPPORTED_METHODS = (
+        "GET",
+        "HEAD",
+        "POST",
+        "PUT",
+        "PATCH",
+        "DELETE",
+        "OPTIONS",
+    )
+
+    def initialize(self, state: State) -> None:
+        self._state = state
+
+    async def _work(self) -> None:
+        state = self._state
+        behaviour = state.behaviour
+        run = Run(
+            self.request.headers.get("X-Request-Id", ""),
+            self.request.method,
+            self.request.uri,
+            time.monotonic(),
+        )
+        state.runs.append(run)
+        state.running += 1
+        try:
+            await self._sleep(behaviour)
+            failed = state.rng.random() < behaviour.error_share
+            run.status = 500 if failed else 200
+            run.finished = time.monotonic()
+            self.set_status(run.status)
+            self.set_header("X-Worker", state.name)
+            echo = self.request.headers.get("X-Request-Id", "")
+            self.finish(f"{state.name} {self.request.uri} {echo}\n")
+        finally:
+            state.running -= 1
+
+    async def _sleep(self, behaviour: Behaviour) -> None:
+        if behaviour.hang:
+            await asyncio.sleep(3600)
+        if behaviour.crash_on and behaviour.crash_on in self.request.uri:
+            asyncio.get_running_loop().stop()
+        seconds = behaviour.service_ms * behaviour.slow_factor / 1000
+        await asyncio.sleep(seconds * self._state.rng.uniform(0.8, 1.2))
+
+    get = head = post = put = patch = delete = options = _work
+
+
+class _ControlHandler(web.RequestHandler):
+    def initialize(self, state: State) -> None:
+        self._state = state
+
+    def get(self) -> None:
+        self.finish(msgspec.json.encode(self._state.runs))
+
+    def put(self) -> None:
+        self._state.behaviour = msgspec.json.decode(
+            self.request.body, type=Behaviour
+        )
+
+
+class _ProbeHandler(web.RequestHandler):
+    def initialize(self, state: State) -> None:
+        self._state = state
+
+    def get(self) -> None:
+        self.set_status(self._state.behaviour.probe_status)
+
+
+def make_application(state: State) -> web.Application:
+    """Builds the application of one target."""
+    arguments = {"state": state}
+    return web.Application(
+        [
+            ("/-/health", _ProbeHandler, arguments),
+            ("/-/control", _ControlHandler, arguments),
+            ("/.*", _WorkHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+async def _run(addresses: list[str], names: list[str], seed: int) -> None:
+    for number, (name, address) in enumerate(
+        zip(names, addresses, strict=True)
+    ):
+        rng = random.Random(seed + number)
+        state = State(name, 3, Behaviour(), [], rng)
+        host, _, port = address.rpartition(":")
+        make_application(state).listen(int(port), address=host)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+
+
+def main(
+    address: Annotated[list[str], typer.Option(help="IP number and port.")],
+    name: Annotated[list[str], typer.Option(help="Name of the worker.")],
+    seed: Annotated[int, typer.Option(help="Seed of randomness.")] = 1,
+) -> None:
+    """Serves one or more targets in one process."""
+    asyncio.run(_run(address, name, seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/test_fleet/test_fleet_thin.py
@@ -0,0 +1,81 @@
+"""One request end to end through separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import tempfile
+
+import testtools
+from tornado import httpclient
+
+from sardinedoor_standins import fleet
+
+_SETTINGS = """
+[team]
+name = permits-office
+[service permits]
+workers = permits-0, permits-1, permits-2, permits-3, permits-4, permits-5
+floor = 3
+[route permits]
+service = permits
+path = /permits
+visibility = public
+[route internal]
+service = permits
+path = /internal
+"""
+
+
+def make_plan(nodes: int = 3, workers: int = 2) -> fleet.Plan:
+    """Builds a plan with one service spread over all nodes."""
+    return fleet.Plan(
+        [
+            fleet.NodePlan(
+                f"n{n}",
+                "attica",
+                f"fd-{n}",
+                [
+                    fleet.WorkerPlan(f"permits-{n * workers + w}", "permits")
+                    for w in range(workers)
+                ],
+            )
+            for n in range(nodes)
+        ],
+        {"permits-office": _SETTINGS},
+    )
+
+
+class ThinPathTest(testtools.TestCase):
+    def test_request_reaches_targets_of_all_nodes(self):
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(self._run(pathlib.Path(folder)))
+
+    async def _run(self, folder: pathlib.Path) -> None:
+        running = fleet.Fleet(make_plan(), folder)
+        client = httpclient.AsyncHTTPClient(force_instance=True)
+        try:
+            await running.start()
+            address = running.plan.nodes[0].public
+            seen = set()
+            for method in ["GET", "POST"] * 30:
+                body = b"x" if method == "POST" else None
+                response = await client.fetch(
+                    f"http://{address}/permits/7",
+                    method=method,
+                    body=body,
+                )
+                self.assertEqual(
+                    "answered", response.headers["Sardinedoor-Outcome"]
+                )
+                seen.add(response.headers["Sardinedoor-Target"])
+            self.assertEqual(6, len(seen))
+            refused = await client.fetch(
+                f"http://{address}/internal", raise_error=False
+            )
+            self.assertEqual(404, refused.code)
+            self.assertEqual("2010", refused.headers["Sardinedoor-Code"])
+            self.assertEqual(0, await running.stop("n1"))
+        finally:
+            client.close()
+            running.close()
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,88 @@
+"""Generates the message and settings classes from the JSON schemas."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SCHEMAS = ROOT / "schemas"
+PACKAGE = ROOT / "packages/schema/src/sardinedoor_schema"
+OUTPUT = PACKAGE / "generated"
+
+_OPTIONS = (
+    "--input-file-type=jsonschema",
+    "--output-model-type=msgspec.Struct",
+    "--disable-timestamp",
+    "--target-python-version=3.11",
+    "--use-schema-description",
+    "--use-double-quotes",
+    "--use-annotated",
+    "--field-constraints",
+    "--strict-nullable",
+    "--use-default",
+    "--enum-field-as-literal=all",
+    "--use-msgspec-forbid-unknown-fields",
+    "--formatters=builtin",
+)
+
+
+def _with_defaults_required(path: pathlib.Path) -> str:
+    """Marks defaulted fields as required, so that none is generated unset."""
+    schema = json.loads(path.read_text())
+    for definition in schema["definitions"].values():
+        properties = definition.get("properties", {})
+        defaulted = [k for k, v in properties.items() if "default" in v]
+        required = definition.get("required", [])
+        definition["required"] = [*required, *defaulted]
+    return json.dumps(schema)
+
+
+def generate(path: pathlib.Path) -> str:
+    """Generates one module.
+
+    Args:
+        path: The schema file.
+
+    Returns:
+        The text of the Python module.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        source = pathlib.Path(folder) / path.name
+        target = pathlib.Path(folder) / "out.py"
+        source.write_text(_with_defaults_required(path))
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "datamodel_code_generator",
+                f"--input={source}",
+                f"--output={target}",
+                "--base-class=sardinedoor_schema.base.Message",
+                *_OPTIONS,
+            ],
+            check=True,
+        )
+        return target.read_text().replace('bytes = ""', 'bytes = b""')
+
+
+def main() -> int:
+    """Writes the modules, or compares them when called with --check."""
+    stale = []
+    for path in sorted(SCHEMAS.glob("*.json")):
+        target = OUTPUT / f"{path.stem}.py"
+        text = generate(path)
+        if "--check" not in sys.argv:
+            target.write_text(text)
+        elif not target.exists() or target.read_text() != text:
+            stale.append(target.name)
+    for name in stale:
+        print(f"generated/{name} is stale: run make generate")
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
