Read the state of a link after each send

The descriptor of a ZeroMQ socket signals only changes. A send through the plain socket took the signal of a reply that had just arrived, so the receiving task wasn't woken until much later. The new Port reads the state after each send.

--- /dev/null
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -0,0 +1,66 @@
+"""A ZeroMQ socket on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+import zmq
+
+
+class Port:
+    """Sends at once or not at all, and waits for what arrives.
+
+    The descriptor of a ZeroMQ socket signals only changes, and any send may
+    consume the signal of a frame that has just arrived. So the state is read
+    again after each send.
+    """
+
+    def __init__(self, socket: zmq.Socket):
+        """Takes over a socket.
+
+        Args:
+            socket: Bound or connected; it is closed with the port.
+        """
+        self._socket = socket
+        self._loop = asyncio.get_running_loop()
+        self._readable = asyncio.Event()
+        self._descriptor = socket.getsockopt(zmq.FD)
+        self._loop.add_reader(self._descriptor, self._check)
+        self._check()
+
+    def _check(self) -> None:
+        if self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            self._readable.set()
+
+    def send(self, parts: list[bytes]) -> bool:
+        """Sends a message of one or more parts.
+
+        Args:
+            parts: The parts.
+
+        Returns:
+            False if the peer isn't connected or its queue is full; then
+            nothing was sent.
+        """
+        try:
+            self._socket.send_multipart(parts, zmq.DONTWAIT)
+        except zmq.ZMQError:
+            return False
+        finally:
+            self._check()
+        return True
+
+    async def receive(self) -> list[bytes]:
+        """Waits for a message and returns its parts."""
+        while True:
+            try:
+                return self._socket.recv_multipart(zmq.DONTWAIT)
+            except zmq.Again:
+                self._readable.clear()
+                self._check()
+            await self._readable.wait()
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._loop.remove_reader(self._descriptor)
+        self._socket.close()
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 import zmq
-import zmq.asyncio
 
 from sardinedoor_node import link
 from sardinedoor_node.link import dispatch
 from sardinedoor_node.link import local
+from sardinedoor_node.link import port
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import frames
 
@@ -38,34 +38,24 @@
 class DealerChannel(link.Channel):
     """Sends over a DEALER that is connected to the peer's ROUTER."""
 
-    def __init__(self, socket: zmq.asyncio.Socket, plain: zmq.Socket):
-        self.socket = socket
-        self._plain = plain
+    def __init__(self, dealer: port.Port):
+        self.port = dealer
 
     def send(self, message: base.Message) -> bool:
         """See base class."""
-        try:
-            self._plain.send(frames.encode(message), zmq.DONTWAIT)
-        except zmq.ZMQError:
-            return False
-        return True
+        return self.port.send([frames.encode(message)])
 
 
 class RouterChannel(link.Channel):
     """Sends to one peer that has connected to the ROUTER."""
 
-    def __init__(self, plain: zmq.Socket, identity: bytes):
-        self._plain = plain
+    def __init__(self, router: port.Port, identity: bytes):
+        self._port = router
         self._identity = identity
 
     def send(self, message: base.Message) -> bool:
         """See base class."""
-        parts = [self._identity, frames.encode(message)]
-        try:
-            self._plain.send_multipart(parts, zmq.DONTWAIT)
-        except zmq.ZMQError:
-            return False
-        return True
+        return self._port.send([self._identity, frames.encode(message)])
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,13 +75,13 @@
             own_name: Name of the node, to which it has a local channel.
             counters: Where dropped frames are counted.
         """
-        self._context = zmq.asyncio.Context()
+        self._context = zmq.Context()
         self._dispatcher = dispatch.Dispatcher(counters)
         self._local = local.LocalChannel(self._dispatcher)
         self._own_name = own_name
         self._peers: dict[str, _Peer] = {}
         self._tasks = tasks.TaskGroup()
-        self._router: zmq.asyncio.Socket | None = None
+        self._router: port.Port | None = None
 
     def on_message(
         self, cls: type[base.Message], receiver: link.Receiver
@@ -112,8 +102,8 @@
         _configure(router)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         router.bind(f"tcp://{address}")
-        self._router = router
-        self._tasks.spawn(self._serve(router), "link-router")
+        self._router = port.Port(router)
+        self._tasks.spawn(self._serve(self._router), "link-router")
 
     def connect(self, name: str, address: str) -> link.Channel:
         """See base class."""
@@ -128,7 +118,7 @@
         _configure(dealer)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
         dealer.connect(f"tcp://{address}")
-        channel = DealerChannel(dealer, zmq.Socket.shadow(dealer.underlying))
+        channel = DealerChannel(port.Port(dealer))
         task = self._tasks.spawn(self._receive(channel), f"link-{name}")
         self._peers[name] = _Peer(address, channel, task)
         return channel
@@ -138,32 +128,31 @@
         peer = self._peers.pop(name, None)
         if peer is not None:
             peer.task.cancel()
-            peer.channel.socket.close()
+            peer.channel.port.close()
 
-    async def _serve(self, router: zmq.asyncio.Socket) -> None:
-        plain = zmq.Socket.shadow(router.underlying)
+    async def _serve(self, router: port.Port) -> None:
         channels: dict[bytes, RouterChannel] = {}
         while True:
-            parts = await router.recv_multipart()
+            parts = await router.receive()
             if len(parts) != 2:
                 continue
             identity, frame = parts
             channel = channels.get(identity)
             if channel is None:
-                channel = RouterChannel(plain, identity)
+                channel = RouterChannel(router, identity)
                 channels[identity] = channel
             self._dispatcher.receive(channel, frame)
 
     async def _receive(self, channel: DealerChannel) -> None:
         while True:
-            parts = await channel.socket.recv_multipart()
+            parts = await channel.port.receive()
             self._dispatcher.receive(channel, parts[-1])
 
     async def close(self) -> None:
         """Closes all links."""
         await self._tasks.cancel()
         for peer in self._peers.values():
-            peer.channel.socket.close()
+            peer.channel.port.close()
         self._peers.clear()
         if self._router is not None:
             self._router.close()
