Connect to targets without asking a resolver thread

Cause: each non-idempotent request takes a fresh connection, and the library's TCPClient resolves even IP numbers through a thread pool. 2,000 connections on loopback: wall p50 0.571 -> 0.120 ms, p99 6.220 -> 2.509 ms, processor time 0.515 -> 0.120 ms each. Ruled out: a blocking resolver in the loop, which would do the same work for nothing, since addresses are IP numbers by the settings' schema.

--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import dataclasses
+import socket
 from typing import TYPE_CHECKING
 
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
-from tornado import tcpclient
 
 from sardinedoor_schema import codes
 
@@ -75,7 +75,6 @@
         self._host = host.strip("[]")
         self._port = int(port)
         self._address = address
-        self._tcp = tcpclient.TCPClient()
         self._idle: list[iostream.IOStream] = []
 
     async def run(
@@ -115,10 +114,14 @@
         return None
 
     async def _connect(self, timeout_s: float) -> iostream.IOStream | None:
+        # No TCPClient: it asks a thread to resolve what is an IP number.
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        stream = iostream.IOStream(socket.socket(family, socket.SOCK_STREAM))
         try:
             async with asyncio.timeout(timeout_s):
-                stream = await self._tcp.connect(self._host, self._port)
+                await stream.connect((self._host, self._port))
         except (OSError, TimeoutError, iostream.StreamClosedError):
+            stream.close()
             return None
         stream.set_nodelay(True)
         return stream
