Prove the exchange over an in-memory link with faults

An offer, go or refusal that came twice, late, out of order or from another incarnation could repeat a request or end in a false 'not run': a refused second attempt hid an unknown first one, a doubled offer was taken twice, a new incarnation's refusal of a doubled offer passed for one of the go.

Offers are taken once per incarnation of the sender, attached requests name the owner's incarnation, a refusal after go names its ticket, and one unknown attempt makes the whole request unknown. A keyed request runs at the home of its key, where a bounded ledger answers a resend. Suspects of target crashes get one more target.

--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,192 @@
+"""Switches mechanisms off, one at a time, and runs the fault grid on each.
+
+Each mutant is a scratch copy of the node's source in which one piece of text
+is replaced. A mechanism that the grid proves leaves no mutant standing.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import Annotated
+
+import typer
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SOURCE = _ROOT / "packages/node/src"
+_PACKAGE = "sardinedoor_node"
+
+
+@dataclasses.dataclass(slots=True)
+class Mutant:
+    """A mechanism, and how its absence reads."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+
+
+MUTANTS = [
+    Mutant(
+        "offers are taken once",
+        "owner/exchange.py",
+        "if not self._seen.add(offer.id):",
+        "if not (self._seen.add(offer.id) or True):",
+    ),
+    Mutant(
+        "an attached request names the owner's incarnation",
+        "owner/exchange.py",
+        "if offer.owner and offer.owner != self._incarnation:",
+        "if False:",
+    ),
+    Mutant(
+        "a refusal names the ticket of the go",
+        "ingress/attempt.py",
+        "return message.ticket == self._ticket",
+        "return True",
+    ),
+    Mutant(
+        "a used ticket is not taken for a lapsed one",
+        "owner/holds.py",
+        "        if used:\n            return\n",
+        "",
+    ),
+    Mutant(
+        "a lapsed hold never runs",
+        "owner/exchange.py",
+        "if go is None or self._clock.monotonic() > hold.lapses:",
+        "if go is None:",
+    ),
+    Mutant(
+        "one unknown attempt makes the request unknown",
+        "ingress/forward.py",
+        "        return unknown[-1]\n",
+        "        return last\n",
+    ),
+    Mutant(
+        "unknown is not retried unless idempotent",
+        "ingress/forward.py",
+        "if outcome is codes.Outcome.ANSWERED or not job.idempotent:",
+        "if outcome is codes.Outcome.ANSWERED:",
+    ),
+    Mutant(
+        "silence after go is unknown",
+        "ingress/attempt.py",
+        "return self._refused(codes.Code.REPLY_TIMEOUT)",
+        "return self._refused(codes.Code.HOLD_TIMEOUT)",
+    ),
+    Mutant(
+        "replies carry a digest",
+        "ingress/attempt.py",
+        "if not is_whole or digests.of_reply(message) != message.digest:",
+        "if False:",
+    ),
+    Mutant(
+        "correlation ids carry the incarnation",
+        "ingress/exchanges.py",
+        "self._incarnation + struct",
+        "bytes(16) + struct",
+    ),
+    Mutant(
+        "a key runs at its home only",
+        "ingress/attempt.py",
+        "return bool(self.key) and not self.idempotent",
+        "return False",
+    ),
+    Mutant(
+        "the home waits for a running key",
+        "owner/exchange.py",
+        "while (entry := self._ledger.find(name)) is not None:",
+        "while (entry := self._ledger.find(name)) and not entry.running:",
+    ),
+    Mutant(
+        "a key that may have run is kept",
+        "owner/exchange.py",
+        "if not exchange.started or _was_not_run(message):",
+        "if not isinstance(message, wire.Reply):",
+    ),
+    Mutant(
+        "a key from before the start is not vouched for",
+        "owner/ledger.py",
+        "        if time_ms < covered_ms:\n",
+        "        if False:\n",
+    ),
+    Mutant(
+        "clocks may differ",
+        "owner/ledger.py",
+        "CLOCK_SKEW_MS = 2_000",
+        "CLOCK_SKEW_MS = -500",
+    ),
+    Mutant(
+        "a key that moved is not vouched for",
+        "owner/homes.py",
+        "since_ms = max(since_ms, change.ended_ms + MOVE_GUARD_MS)",
+        "pass",
+    ),
+    Mutant(
+        "the owner checks that it is home",
+        "owner/exchange.py",
+        "if self._homes.home(offer.service, name) != worker.name:",
+        "if False:",
+    ),
+]
+
+
+def run_mutant(mutant: Mutant, seeds: int) -> str:
+    """Runs the grid on a mutant.
+
+    Args:
+        mutant: What to switch off.
+        seeds: Number of schedules.
+
+    Returns:
+        What the grid printed.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder) / _PACKAGE
+        shutil.copytree(_SOURCE / _PACKAGE, copy)
+        path = copy / mutant.file
+        text = path.read_text()
+        if text.count(mutant.old) != 1:
+            raise ValueError(f"{mutant.name}: text is not there once")
+        path.write_text(text.replace(mutant.old, mutant.new))
+        done = subprocess.run(
+            [
+                sys.executable,
+                str(_ROOT / "bench/faultgrid.py"),
+                f"--seeds={seeds}",
+            ],
+            env={**os.environ, "PYTHONPATH": folder},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    return done.stdout + done.stderr
+
+
+def main(
+    seeds: Annotated[int, typer.Option(help="Schedules per mutant.")] = 600,
+) -> None:
+    """Prints how many schedules each mutant breaks, and which is first."""
+    standing = 0
+    for mutant in MUTANTS:
+        output = run_mutant(mutant, seeds)
+        broken = [
+            line.rpartition(" ")[2]
+            for line in output.splitlines()
+            if line.startswith("broken by seed")
+        ]
+        standing += not broken
+        first = min(map(int, broken), default=None)
+        print(f"{mutant.name}: {len(broken)} broken, first seed {first}")
+    raise typer.Exit(1 if standing else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -13,11 +13,15 @@
 from sardinedoor_node.admin import status
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import forward
+from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import listener
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.membership import prober
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
+from sardinedoor_node.owner import homes
+from sardinedoor_node.owner import notices
+from sardinedoor_node.owner import suspects
 from sardinedoor_node.owner import workers
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.platform import client
@@ -76,13 +80,29 @@
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
-        self._owner = exchange.Owner(self._workers, self._metrics, self._clock)
-        self._exchanges = exchanges.ExchangeTable(incarnation, self._metrics)
+        key_homes = homes.Homes(self._store, self._clock)
+        notifier = notices.Notifier(self._members, self._transport, self._clock)
+        self._suspects = suspects.Suspects(
+            notifier.notify, self._metrics, self._clock
+        )
+        self._owner = exchange.Owner(
+            incarnation,
+            self._workers,
+            key_homes,
+            self._suspects,
+            self._metrics,
+            self._clock,
+        )
+        self._exchanges = exchanges.ExchangeTable(
+            incarnation, self._metrics, self._clock
+        )
         self._forwarder = forward.Forwarder(
             self._members,
             self._transport,
             twochoices.TwoChoicesPicker(random.Random()),
             self._exchanges,
+            key_homes,
+            holding.AlwaysHold(),
             self._metrics,
             self._clock,
         )
@@ -98,6 +118,7 @@
         register(wire.Offer, self._owner.on_offer)
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
+        register(wire.CrashNotice, self._suspects.on_notice)
         register(wire.Held, self._exchanges.on_message)
         register(wire.Reply, self._exchanges.on_message)
         register(wire.Refusal, self._exchanges.on_message)
--- a/packages/node/src/sardinedoor_node/ingress/exchanges.py
+++ b/packages/node/src/sardinedoor_node/ingress/exchanges.py
@@ -5,23 +5,32 @@
 import asyncio
 import struct
 from typing import TYPE_CHECKING
+import weakref
 
 if TYPE_CHECKING:
     from sardinedoor_node import link
     from sardinedoor_node import metrics
+    from sardinedoor_node.util import clock
     from sardinedoor_schema import base
 
 
 class ExchangeTable:
     """Inboxes of running exchanges by correlation id."""
 
-    def __init__(self, incarnation: bytes, counters: metrics.Metrics):
+    def __init__(
+        self, incarnation: bytes, counters: metrics.Metrics, time: clock.Clock
+    ):
         """Starts empty.
 
         Args:
             incarnation: Random bytes that no other process has.
             counters: Where late replies are counted.
+            time: The clock.
         """
+        self._clock = time
+        self._heard: weakref.WeakKeyDictionary[link.Channel, float] = (
+            weakref.WeakKeyDictionary()
+        )
         self._incarnation = incarnation
         self._metrics = counters
         self._counter = 0
@@ -35,13 +44,17 @@
         self._inboxes[exchange_id] = inbox
         return exchange_id, inbox
 
+    def heard(self, channel: link.Channel) -> float | None:
+        """Tells when a peer last sent anything, in s; None for never."""
+        return self._heard.get(channel)
+
     def close(self, exchange_id: bytes) -> None:
         """Forgets an exchange; what still arrives for it is dropped."""
         self._inboxes.pop(exchange_id, None)
 
     def on_message(self, channel: link.Channel, message: base.Message) -> None:
         """Puts a held, reply or refusal into its inbox."""
-        del channel
+        self._heard[channel] = self._clock.monotonic()
         inbox = self._inboxes.get(message.id)
         if inbox is None:
             self._metrics.dropped("late")
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -1,12 +1,13 @@
-"""Takes one request to an owner and brings back the outcome."""
+"""Takes one request to owners until an outcome is final."""
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
+import math
 from typing import TYPE_CHECKING
 
-from sardinedoor_node.owner import exchange
+from sardinedoor_node.ingress import attempt
+from sardinedoor_node.owner import ledger
+from sardinedoor_node.util import digests
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
@@ -15,33 +16,16 @@
     from sardinedoor_node import metrics
     from sardinedoor_node import picking
     from sardinedoor_node.ingress import exchanges
-    from sardinedoor_node.ingress import routes
+    from sardinedoor_node.ingress import holding
     from sardinedoor_node.membership import table
+    from sardinedoor_node.owner import homes
     from sardinedoor_node.util import clock
 
-HOLD_TIMEOUT_S = 0.4
-_MAX_ATTEMPTS = 3
-
-
-@dataclasses.dataclass(slots=True)
-class Forwarded:
-    """What a caller gets."""
-
-    code: codes.Code
-    worker: str = ""
-    reply: wire.Reply | None = None
-
+Forwarded = attempt.Forwarded
+Job = attempt.Job
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A request on its way."""
-
-    request: wire.Request
-    route: routes.Route
-    idempotent: bool
-    deadline: float
-    organisation: str = ""
-    key: str = ""
+_MAX_ATTEMPTS = 3
+_MAX_LOST = 2
 
 
 class Forwarder:
@@ -53,6 +37,8 @@
         transport: link.Transport,
         picker: picking.Picker,
         open_exchanges: exchanges.ExchangeTable,
+        key_homes: homes.Homes,
+        policy: holding.HoldPolicy,
         counters: metrics.Metrics,
         time: clock.Clock,
     ):
@@ -60,6 +46,8 @@
         self._transport = transport
         self._picker = picker
         self._exchanges = open_exchanges
+        self._homes = key_homes
+        self._policy = policy
         self._metrics = counters
         self._clock = time
 
@@ -70,29 +58,43 @@
             job: The request.
 
         Returns:
-            The outcome of the last attempt.
+            The outcome of all attempts together: not run only if each of
+            them was not run.
         """
+        if job.keyed:
+            return await self._forward_home(job)
         tried: set[str] = set()
+        unknown: list[Forwarded] = []
         last = Forwarded(codes.Code.NO_TARGET)
         for _ in range(_MAX_ATTEMPTS):
             if self._remaining(job) <= 0:
-                return Forwarded(codes.Code.DEADLINE_EXPIRED)
+                last = Forwarded(codes.Code.DEADLINE_EXPIRED)
+                break
             service = job.route.settings.service
             target = self._picker.pick(self._members.targets(service), tried)
             if target is None:
-                return last
+                break
             tried.add(target.worker)
             last = await self._attempt(job, target)
-            if not self._may_retry(job, last):
-                return last
+            if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
+                unknown.append(last)
+            if not _may_retry(job, last, unknown):
+                break
             self._metrics.retry(last.code.name.lower())
-        return last
-
-    def _may_retry(self, job: Job, last: Forwarded) -> bool:
-        outcome = codes.outcome(last.code)
-        if outcome is codes.Outcome.NOT_RUN:
-            return True
-        return outcome is codes.Outcome.UNKNOWN and job.idempotent
+        if codes.outcome(last.code) is codes.Outcome.ANSWERED or not unknown:
+            return last
+        return unknown[-1]
+
+    async def _forward_home(self, job: Job) -> Forwarded:
+        if not ledger.is_valid(job.key):
+            return Forwarded(codes.Code.KEY_INVALID)
+        service = job.route.settings.service
+        name = ledger.scope(job.route.team, service, job.organisation, job.key)
+        home = self._homes.home(service, name)
+        for target in self._members.targets(service):
+            if target.worker == home:
+                return _at_home(await self._attempt(job, target))
+        return Forwarded(codes.Code.HOME_UNREACHABLE)
 
     def _remaining(self, job: Job) -> float:
         return job.deadline - self._clock.monotonic()
@@ -101,20 +103,27 @@
         entry = self._members.entries[target.node]
         channel = self._transport.connect(entry.name, entry.link)
         exchange_id, inbox = self._exchanges.open()
+        offer = self._offer(job, target, exchange_id)
+        hold = self._holds(job, channel)
+        if not hold:
+            offer.request = job.request
+            offer.owner = entry.member.incarnation
+        started = attempt.Attempt(job, offer, channel, inbox, self._clock)
         self._picker.started(target.worker)
         try:
-            if job.idempotent:
-                message = await self._run(
-                    job, target, channel, exchange_id, inbox
-                )
-            else:
-                message = await self._hold(
-                    job, target, channel, exchange_id, inbox
-                )
+            return await started.run(hold)
         finally:
             self._exchanges.close(exchange_id)
             self._picker.finished(target.worker)
-        return _result(message, target)
+
+    def _holds(self, job: Job, channel: link.Channel) -> bool:
+        if job.idempotent:
+            return False
+        heard = self._exchanges.heard(channel)
+        heard_s = math.inf
+        if heard is not None:
+            heard_s = self._clock.monotonic() - heard
+        return job.keyed or self._policy.holds(heard_s)
 
     def _offer(
         self, job: Job, target: table.Target, exchange_id: bytes
@@ -128,85 +137,28 @@
             organisation=job.organisation,
             priority=job.route.settings.priority,
             key=job.key,
+            key_sent_ms=ledger.key_time_ms(job.key),
+            team=job.route.team,
             revision=job.route.revision,
+            fingerprint=digests.of_request(
+                target.service, job.organisation, job.request
+            ),
         )
 
-    async def _run(
-        self,
-        job: Job,
-        target: table.Target,
-        channel: link.Channel,
-        exchange_id: bytes,
-        inbox: asyncio.Queue,
-    ) -> wire.Reply | wire.Refusal:
-        offer = self._offer(job, target, exchange_id)
-        offer.request = job.request
-        if not channel.send(offer):
-            return wire.Refusal(exchange_id, codes.Code.LINK_DOWN)
-        return await self._reply(job, exchange_id, inbox)
 
-    async def _hold(
-        self,
-        job: Job,
-        target: table.Target,
-        channel: link.Channel,
-        exchange_id: bytes,
-        inbox: asyncio.Queue,
-    ) -> wire.Reply | wire.Refusal:
-        if not channel.send(self._offer(job, target, exchange_id)):
-            return wire.Refusal(exchange_id, codes.Code.LINK_DOWN)
-        sent = self._clock.monotonic()
-        message = await self._next(
-            inbox, min(HOLD_TIMEOUT_S, self._remaining(job))
-        )
-        if isinstance(message, wire.Refusal):
-            return message
-        if not isinstance(message, wire.Held):
-            channel.send(wire.Cancel(exchange_id))
-            return wire.Refusal(exchange_id, codes.Code.HOLD_TIMEOUT)
-        late = self._clock.monotonic() - sent > message.lapse_ms / 1000
-        remaining_ms = int(self._remaining(job) * 1000)
-        if late or remaining_ms <= 0:
-            channel.send(wire.Cancel(exchange_id))
-            code = codes.Code.HOLD_TIMEOUT
-            if remaining_ms <= 0:
-                code = codes.Code.DEADLINE_EXPIRED
-            return wire.Refusal(exchange_id, code)
-        go = wire.Go(exchange_id, message.ticket, remaining_ms, job.request)
-        if not channel.send(go):
-            return wire.Refusal(exchange_id, codes.Code.LINK_DOWN)
-        return await self._reply(job, exchange_id, inbox)
-
-    async def _reply(
-        self, job: Job, exchange_id: bytes, inbox: asyncio.Queue
-    ) -> wire.Reply | wire.Refusal:
-        while True:
-            message = await self._next(inbox, self._remaining(job))
-            if message is None:
-                return wire.Refusal(exchange_id, codes.Code.REPLY_TIMEOUT)
-            if isinstance(message, wire.Reply | wire.Refusal):
-                return message
-
-    async def _next(self, inbox: asyncio.Queue, timeout_s: float):
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await inbox.get()
-        except TimeoutError:
-            return None
+def _may_retry(job: Job, last: Forwarded, unknown: list[Forwarded]) -> bool:
+    outcome = codes.outcome(last.code)
+    if last.code == codes.Code.QUARANTINED:
+        return False
+    if outcome is codes.Outcome.NOT_RUN:
+        return True
+    if outcome is codes.Outcome.ANSWERED or not job.idempotent:
+        return False
+    lost = codes.Code.TARGET_CONNECTION_LOST
+    return sum(u.code == lost for u in unknown) < _MAX_LOST
 
 
-def _result(
-    message: wire.Reply | wire.Refusal, target: table.Target
-) -> Forwarded:
-    if isinstance(message, wire.Refusal):
-        try:
-            code = codes.Code(message.code)
-        except ValueError:
-            code = codes.Code.INTERNAL_ERROR_AFTER_RUN
-        return Forwarded(code, target.worker)
-    if (
-        len(message.body) != message.length
-        or exchange.digest(message.body) != message.digest
-    ):
-        return Forwarded(codes.Code.REPLY_TRUNCATED, target.worker)
-    return Forwarded(codes.Code.ANSWERED, target.worker, message)
+def _at_home(last: Forwarded) -> Forwarded:
+    if last.code == codes.Code.LINK_DOWN:
+        return Forwarded(codes.Code.HOME_UNREACHABLE, last.worker)
+    return last
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
-import collections
-import hashlib
-import secrets
+import logging
 from typing import TYPE_CHECKING
 
 import msgspec
+import result
 
+from sardinedoor_node.owner import holds
+from sardinedoor_node.owner import ledger
+from sardinedoor_node.owner import seen
+from sardinedoor_node.util import digests
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
@@ -17,30 +19,43 @@
 if TYPE_CHECKING:
     from sardinedoor_node import link
     from sardinedoor_node import metrics
+    from sardinedoor_node.owner import homes
+    from sardinedoor_node.owner import suspects
     from sardinedoor_node.owner import target
     from sardinedoor_node.owner import workers
     from sardinedoor_node.util import clock
 
-LAPSE_MS = 500
-_TICKET_BYTES = 16
-_LAPSED_TICKETS = 10_000
-DIGEST_BYTES = 16
+logger = logging.getLogger(__name__)
 
+_Outcome = wire.Reply | wire.Refusal
 
-def digest(body: bytes) -> bytes:
-    """Returns the digest that goes with a body on the link."""
-    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).digest()
 
+class Exchange:
+    """One offer and how far it got."""
 
-class _Hold:
-    """A reserved slot that waits for go."""
+    def __init__(
+        self, channel: link.Channel, offer: wire.Offer, deadline: float
+    ):
+        """Starts with nothing run.
 
-    def __init__(self, offer: wire.Offer, worker: workers.LocalWorker):
+        Args:
+            channel: Where the outcome goes.
+            offer: The offer.
+            deadline: When it expires, by the owner's monotonic clock.
+        """
+        self.channel = channel
         self.offer = offer
-        self.worker = worker
-        self.go: asyncio.Future[wire.Go] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.deadline = deadline
+        self.ticket = b""
+        self.started = False
+
+    def refuse(
+        self,
+        code: codes.Code,
+        load: wire.Load | msgspec.UnsetType = msgspec.UNSET,
+    ) -> wire.Refusal:
+        """Returns a refusal that names the ticket of the go, if one came."""
+        return wire.Refusal(self.offer.id, code, self.ticket, load)
 
 
 class Owner:
@@ -48,18 +63,33 @@
 
     def __init__(
         self,
+        incarnation: bytes,
         local: dict[str, workers.LocalWorker],
+        key_homes: homes.Homes,
+        crash_suspects: suspects.Suspects,
         counters: metrics.Metrics,
         time: clock.Clock,
     ):
+        """Starts with nothing running.
+
+        Args:
+            incarnation: Random bytes that no other process has.
+            local: The node's own workers by name.
+            key_homes: Which worker is home to a key.
+            crash_suspects: Requests that may have crashed targets.
+            counters: Where events are counted.
+            time: The clock.
+        """
+        self._incarnation = incarnation
         self._workers = local
+        self._homes = key_homes
+        self._suspects = crash_suspects
         self._metrics = counters
         self._clock = time
         self._tasks = tasks.TaskGroup()
-        self._holds: dict[bytes, _Hold] = {}
-        self._lapsed: collections.OrderedDict[bytes, None] = (
-            collections.OrderedDict()
-        )
+        self._seen = seen.SeenOffers()
+        self._holds = holds.HoldTable(time)
+        self._ledger = ledger.Ledger(time)
         self.leaving = False
 
     @property
@@ -69,17 +99,25 @@
 
     def on_offer(self, channel: link.Channel, offer: wire.Offer) -> None:
         """Starts the exchange for an offer."""
-        self._tasks.spawn(self._exchange(channel, offer), "exchange")
+        if not self._seen.add(offer.id):
+            self._metrics.dropped("offer_seen")
+            return
+        if offer.owner and offer.owner != self._incarnation:
+            # The incarnation it was meant for may have run it.
+            channel.send(wire.Refusal(offer.id, codes.Code.LINK_LOST))
+            return
+        deadline = self._clock.monotonic() + offer.remaining_ms / 1000
+        exchange = Exchange(channel, offer, deadline)
+        self._tasks.spawn(self._serve(exchange), "exchange")
 
     def on_go(self, channel: link.Channel, go: wire.Go) -> None:
         """Hands a go to the exchange that holds its ticket."""
-        hold = self._holds.pop(go.ticket, None)
-        if hold is not None:
-            hold.go.set_result(go)
+        if self._holds.go(go):
             return
-        if go.ticket in self._lapsed:
-            refusal = wire.Refusal(go.id, codes.Code.TICKET_LAPSED)
-            channel.send(refusal)
+        if self._holds.has_lapsed(go.ticket):
+            channel.send(
+                wire.Refusal(go.id, codes.Code.TICKET_LAPSED, go.ticket)
+            )
             return
         # A ticket that was used may have run, so nothing can be said of it.
         self._metrics.dropped("go_without_ticket")
@@ -87,100 +125,174 @@
     def on_cancel(self, channel: link.Channel, cancel: wire.Cancel) -> None:
         """Frees the slot of an offer that won't be followed by go."""
         del channel
-        for hold in list(self._holds.values()):
-            if hold.offer.id == cancel.id:
-                hold.go.cancel()
+        self._seen.add(cancel.id)
+        self._holds.cancel(cancel.id)
 
-    async def _exchange(self, channel: link.Channel, offer: wire.Offer) -> None:
-        deadline = self._clock.monotonic() + offer.remaining_ms / 1000
+    async def _serve(self, exchange: Exchange) -> None:
+        try:
+            message = await self._outcome(exchange)
+        except Exception:
+            logger.exception("exchange failed")
+            code = codes.Code.INTERNAL_ERROR_BEFORE_RUN
+            if exchange.started:
+                code = codes.Code.INTERNAL_ERROR_AFTER_RUN
+            message = exchange.refuse(code)
+        exchange.channel.send(message)
+
+    async def _outcome(self, exchange: Exchange) -> _Outcome:
+        offer = exchange.offer
         worker = self._workers.get(offer.worker)
-        refusal = self._refusal(offer, worker)
-        if refusal is not None:
-            channel.send(wire.Refusal(offer.id, refusal))
-            return
-        assert worker is not None
+        if self.leaving:
+            return exchange.refuse(codes.Code.NODE_LEAVING)
+        if worker is None or worker.service != offer.service:
+            return exchange.refuse(codes.Code.NOT_OWNER)
+        if self._suspects.is_refused(offer.fingerprint):
+            return exchange.refuse(codes.Code.QUARANTINED)
+        if offer.key and not offer.idempotent:
+            return await self._serve_keyed(exchange, worker)
+        return await self._reserve(exchange, worker)
+
+    async def _serve_keyed(
+        self, exchange: Exchange, worker: workers.LocalWorker
+    ) -> _Outcome:
+        offer = exchange.offer
+        name = ledger.scope(
+            offer.team, offer.service, offer.organisation, offer.key
+        )
+        while (entry := self._ledger.find(name)) is not None:
+            if entry.fingerprint != offer.fingerprint:
+                return exchange.refuse(codes.Code.KEY_REUSED)
+            left_s = exchange.deadline - self._clock.monotonic()
+            if not await entry.wait(max(0.0, left_s)):
+                return exchange.refuse(codes.Code.REPLY_TIMEOUT)
+            if entry.message is not None:
+                return entry.repeat(offer.id)
+        if self._homes.home(offer.service, name) != worker.name:
+            return exchange.refuse(codes.Code.NOT_HOME)
+        time_ms = ledger.key_time_ms(offer.key)
+        homed_ms = self._homes.since_ms(offer.service, name, worker.name)
+        code = self._ledger.refusal(time_ms, homed_ms)
+        if code is not None:
+            return exchange.refuse(code)
+        entry = self._ledger.begin(name, offer.fingerprint, time_ms)
+        return await self._record(exchange, worker, entry)
+
+    async def _record(
+        self,
+        exchange: Exchange,
+        worker: workers.LocalWorker,
+        entry: ledger.Entry,
+    ) -> _Outcome:
+        message = exchange.refuse(codes.Code.INTERNAL_ERROR_AFTER_RUN)
+        try:
+            message = await self._reserve(exchange, worker)
+        finally:
+            if not exchange.started or _was_not_run(message):
+                self._ledger.abandon(entry)
+            else:
+                self._ledger.finish(entry, message)
+        return message
+
+    async def _reserve(
+        self, exchange: Exchange, worker: workers.LocalWorker
+    ) -> _Outcome:
         if not worker.reserve():
-            channel.send(
-                wire.Refusal(offer.id, codes.Code.QUEUE_FULL, worker.load())
-            )
-            return
+            return exchange.refuse(codes.Code.QUEUE_FULL, worker.load())
         try:
-            request = offer.request
+            request = exchange.offer.request
             if isinstance(request, msgspec.UnsetType):
-                request = await self._hold(channel, offer, worker)
-            if request is not None:
-                message = await self._run(offer, worker, request, deadline)
-                channel.send(message)
+                held = await self._hold(exchange)
+                if held.is_err():
+                    return exchange.refuse(held.unwrap_err())
+                request = held.unwrap()
+            return await self._run(exchange, worker, request)
         finally:
             worker.release()
 
-    def _refusal(
-        self, offer: wire.Offer, worker: workers.LocalWorker | None
-    ) -> codes.Code | None:
-        if self.leaving:
-            return codes.Code.NODE_LEAVING
-        if worker is None or worker.service != offer.service:
-            return codes.Code.NOT_OWNER
-        return None
-
     async def _hold(
-        self,
-        channel: link.Channel,
-        offer: wire.Offer,
-        worker: workers.LocalWorker,
-    ) -> wire.Request | None:
-        ticket = secrets.token_bytes(_TICKET_BYTES)
-        hold = _Hold(offer, worker)
-        self._holds[ticket] = hold
-        lapses = self._clock.monotonic() + LAPSE_MS / 1000
+        self, exchange: Exchange
+    ) -> result.Result[wire.Request, codes.Code]:
+        hold = self._holds.open(exchange.offer.id)
+        used = False
         try:
-            if not channel.send(wire.Held(offer.id, ticket, LAPSE_MS)):
-                return None
-            async with asyncio.timeout(LAPSE_MS / 1000):
-                go = await hold.go
-        except (TimeoutError, asyncio.CancelledError):
-            self._lapse(ticket)
-            return None
+            held = wire.Held(exchange.offer.id, hold.ticket, holds.LAPSE_MS)
+            if not exchange.channel.send(held):
+                return result.Err(codes.Code.LINK_DOWN)
+            go = await hold.wait()
+            if go is not None:
+                exchange.ticket = go.ticket
+            if go is None or self._clock.monotonic() > hold.lapses:
+                self._metrics.event("ticket_lapsed")
+                return result.Err(codes.Code.TICKET_LAPSED)
+            used = True
         finally:
-            self._holds.pop(ticket, None)
-        if self._clock.monotonic() > lapses:
-            self._lapse(ticket)
-            channel.send(wire.Refusal(offer.id, codes.Code.TICKET_LAPSED))
-            return None
-        return go.request
-
-    def _lapse(self, ticket: bytes) -> None:
-        self._metrics.event("ticket_lapsed")
-        self._lapsed[ticket] = None
-        if len(self._lapsed) > _LAPSED_TICKETS:
-            self._lapsed.popitem(last=False)
+            self._holds.close(hold, used)
+        left = self._clock.monotonic() + go.remaining_ms / 1000
+        exchange.deadline = min(exchange.deadline, left)
+        return result.Ok(go.request)
 
     async def _run(
         self,
-        offer: wire.Offer,
+        exchange: Exchange,
         worker: workers.LocalWorker,
         request: wire.Request,
-        deadline: float,
-    ) -> wire.Reply | wire.Refusal:
-        remaining = deadline - self._clock.monotonic()
-        if remaining <= 0:
-            return wire.Refusal(offer.id, codes.Code.DEADLINE_EXPIRED)
-        reply = await worker.client.run(request, offer.idempotent, remaining)
+    ) -> _Outcome:
+        offer = exchange.offer
+        fingerprint = digests.of_request(
+            offer.service, offer.organisation, request
+        )
+        if offer.key and fingerprint != offer.fingerprint:
+            return exchange.refuse(codes.Code.KEY_REUSED)
+        if self._suspects.is_refused(fingerprint):
+            return exchange.refuse(codes.Code.QUARANTINED)
+        remaining_s = exchange.deadline - self._clock.monotonic()
+        if remaining_s <= 0:
+            return exchange.refuse(codes.Code.DEADLINE_EXPIRED)
+        self._suspects.begin(offer.service, fingerprint, remaining_s)
+        exchange.started = True
+        reply = await worker.client.run(request, offer.idempotent, remaining_s)
+        await self._note_end(offer.service, worker, fingerprint, reply.code)
         if reply.code != codes.Code.ANSWERED:
-            return wire.Refusal(offer.id, reply.code, worker.load())
+            return exchange.refuse(reply.code, worker.load())
         return _to_message(offer.id, reply, worker.load())
 
+    async def _note_end(
+        self,
+        service: str,
+        worker: workers.LocalWorker,
+        fingerprint: bytes,
+        code: codes.Code,
+    ) -> None:
+        if code == codes.Code.ANSWERED:
+            self._suspects.answered(service, fingerprint)
+            return
+        lost = code in (
+            codes.Code.TARGET_CONNECTION_LOST,
+            codes.Code.REPLY_TRUNCATED,
+        )
+        if lost and not await worker.client.is_listening():
+            self._suspects.crashed(service, fingerprint)
+
+
+def _was_not_run(message: _Outcome) -> bool:
+    return (
+        isinstance(message, wire.Refusal)
+        and codes.outcome(message.code) is codes.Outcome.NOT_RUN
+    )
+
 
 def _to_message(
     exchange_id: bytes, reply: target.TargetReply, load: wire.Load
 ) -> wire.Reply:
     headers = [wire.Header(k, v) for k, v in reply.headers.get_all()]
-    return wire.Reply(
+    message = wire.Reply(
         id=exchange_id,
         status=reply.status,
         headers=headers,
         body=reply.body,
         length=len(reply.body),
-        digest=digest(reply.body),
+        digest=b"",
         load=load,
     )
+    message.digest = digests.of_reply(message)
+    return message
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/owner/homes.py
@@ -0,0 +1,93 @@
+"""Which worker is home to a key, and since when."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from sardinedoor_node.util import rendezvous
+
+if TYPE_CHECKING:
+    from sardinedoor_node.settings import store
+    from sardinedoor_node.util import clock
+
+MOVE_GUARD_MS = 60_000
+_KEPT_CHANGES = 8
+
+
+@dataclasses.dataclass(slots=True)
+class _Change:
+    """The end of one list of workers."""
+
+    ended_ms: int
+    workers: list[str]
+
+
+class Homes:
+    """Homes under the settings in force, and under those before them.
+
+    A key whose home changed may have run at its former home, also a while
+    after the change: nodes learn of it at different times.
+    """
+
+    def __init__(self, settings_store: store.SettingsStore, time: clock.Clock):
+        """Follows the settings.
+
+        Args:
+            settings_store: The settings in force.
+            time: The clock.
+        """
+        self._store = settings_store
+        self._clock = time
+        self._workers: dict[str, list[str]] = {}
+        self._changes: dict[str, list[_Change]] = {}
+        self._cut_ms: dict[str, int] = {}
+        settings_store.on_change(self._on_change)
+        self._on_change()
+
+    def home(self, service: str, name: bytes) -> str | None:
+        """Returns the worker that is home to a key.
+
+        Args:
+            service: The service.
+            name: Scope of the key.
+
+        Returns:
+            The worker; None if the service isn't known.
+        """
+        settings = self._store.services.get(service)
+        if settings is None:
+            return None
+        return rendezvous.highest(name, settings.workers)
+
+    def since_ms(self, service: str, name: bytes, worker: str) -> int:
+        """Tells from when on a worker alone can have run a key.
+
+        Args:
+            service: The service.
+            name: Scope of the key.
+            worker: The home in force.
+
+        Returns:
+            Unix time in ms; 0 for always, as far as this node knows.
+        """
+        since_ms = self._cut_ms.get(service, 0)
+        for change in self._changes.get(service, []):
+            if rendezvous.highest(name, change.workers) != worker:
+                since_ms = max(since_ms, change.ended_ms + MOVE_GUARD_MS)
+        return since_ms
+
+    def _on_change(self) -> None:
+        for service, settings in self._store.services.items():
+            before = self._workers.get(service)
+            self._workers[service] = settings.workers
+            if before is not None and set(before) != set(settings.workers):
+                self._remember(service, before)
+
+    def _remember(self, service: str, before: list[str]) -> None:
+        ended_ms = int(self._clock.now().timestamp() * 1000)
+        changes = self._changes.setdefault(service, [])
+        changes.append(_Change(ended_ms, before))
+        if len(changes) > _KEPT_CHANGES:
+            oldest = changes.pop(0)
+            self._cut_ms[service] = oldest.ended_ms + MOVE_GUARD_MS
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/owner/notices.py
@@ -0,0 +1,53 @@
+"""Sends notices to the other owners of a service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sardinedoor_node.util import tasks
+
+if TYPE_CHECKING:
+    from sardinedoor_node import link
+    from sardinedoor_node.membership import table
+    from sardinedoor_node.util import clock
+    from sardinedoor_schema.generated import wire
+
+REPEATS = 3
+REPEAT_S = 0.05
+
+
+class Notifier:
+    """Sends each notice a few times, as a frame may be lost."""
+
+    def __init__(
+        self,
+        members: table.MemberTable,
+        transport: link.Transport,
+        time: clock.Clock,
+    ):
+        self._members = members
+        self._transport = transport
+        self._clock = time
+        self._tasks = tasks.TaskGroup()
+
+    def notify(self, notice: wire.CrashNotice) -> None:
+        """Sends a notice at once, and again a little later.
+
+        Args:
+            notice: Its service tells who hears it.
+        """
+        self._send(notice)
+        self._tasks.spawn(self._repeat(notice), "notice")
+
+    async def _repeat(self, notice: wire.CrashNotice) -> None:
+        for _ in range(REPEATS - 1):
+            await self._clock.sleep(REPEAT_S)
+            self._send(notice)
+
+    def _send(self, notice: wire.CrashNotice) -> None:
+        nodes = {t.node for t in self._members.targets(notice.service)}
+        nodes.discard(self._members.own.name)
+        for name in nodes:
+            entry = self._members.entries[name]
+            channel = self._transport.connect(entry.name, entry.link)
+            channel.send(notice)
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -11,6 +11,7 @@
 from tornado import iostream
 from tornado import tcpclient
 
+from sardinedoor_node import owner
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -58,7 +59,7 @@
         self.finished = True
 
 
-class TargetClient:
+class TargetClient(owner.Client):
     """Connections to one worker.
 
     Idempotent requests reuse idle connections. Other requests take a fresh
@@ -81,24 +82,20 @@
     async def run(
         self, request: wire.Request, idempotent: bool, remaining_s: float
     ) -> TargetReply:
-        """Sends a request once and reads the whole answer.
-
-        Args:
-            request: What to send.
-            idempotent: Whether an idle connection may be used.
-            remaining_s: Time left, in s.
-
-        Returns:
-            The answer, or a code that tells whether the request was sent.
-        """
+        """See base class."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + remaining_s
         stream = self._take_idle() if idempotent else None
         if stream is None:
             connect_s = min(CONNECT_TIMEOUT_S, remaining_s)
             stream = await self._connect(connect_s)
         if stream is None:
             return TargetReply(codes.Code.CONNECT_FAILED)
+        if loop.time() >= deadline:
+            stream.close()
+            return TargetReply(codes.Code.DEADLINE_EXPIRED)
         try:
-            async with asyncio.timeout(remaining_s):
+            async with asyncio.timeout_at(deadline):
                 return await self._exchange(stream, request)
         except TimeoutError:
             stream.close()
@@ -180,8 +177,16 @@
             b"".join(collector.chunks),
         )
 
+    async def is_listening(self) -> bool:
+        """See base class."""
+        stream = await self._connect(CONNECT_TIMEOUT_S)
+        if stream is None:
+            return False
+        stream.close()
+        return True
+
     def close(self) -> None:
-        """Closes the idle connections."""
+        """See base class."""
         for stream in self._idle:
             stream.close()
         self._idle.clear()
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -8,6 +8,7 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from sardinedoor_node import owner
     from sardinedoor_schema.generated import settings
 
 DEFAULT_SLOTS = 3
@@ -16,10 +17,22 @@
 class LocalWorker:
     """One worker: its connections, and the requests it runs."""
 
-    def __init__(self, name: str, worker: settings.WorkerSettings):
+    def __init__(
+        self,
+        name: str,
+        worker: settings.WorkerSettings,
+        client: owner.Client | None = None,
+    ):
+        """Starts idle.
+
+        Args:
+            name: Name of the worker.
+            worker: Its settings.
+            client: Takes requests to it; by default over HTTP.
+        """
         self.name = name
         self.service = worker.service
-        self.client = target.TargetClient(worker.address)
+        self.client = client or target.TargetClient(worker.address)
         self.slots = DEFAULT_SLOTS
         self.in_flight = 0
 
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -24,6 +24,7 @@
     13: wire.Cancel,
     14: wire.Reply,
     15: wire.Refusal,
+    16: wire.CrashNotice,
 }
 _NUMBERS = {cls: number for number, cls in _TYPES.items()}
 _DECODERS = {n: msgspec.msgpack.Decoder(cls) for n, cls in _TYPES.items()}
