Replace the full mesh of hellos by rings, gossip and sync

Cause: each node said hello to every peer each 500 ms and each node watched the platform; both grow with the square of the fleet or load the platform. Settings bodies are pulled once from the peer that advertised them; two nodes in each failure domain read the platform. The node listens from its start and refuses as not run until boot is done. Ruled out: random probe targets as in plain SWIM, since each probe would open a new link. Not measured yet.

--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from sardinedoor_node.membership import table
+    from sardinedoor_node.platform import service
     from sardinedoor_node.settings import store
 
 
@@ -18,16 +19,46 @@
     alive: bool
     leaving: bool
     workers: list[str]
+    state: str = ""
+    reachable: bool = True
+    reason: str = ""
+    failure_domain: str = ""
 
 
 @dataclasses.dataclass(slots=True)
 class TeamStatus:
-    """Settings of one team in force on this node."""
+    """Settings of one team in force on this node.
+
+    Attributes:
+        platform_revision: What the platform said last; 0 if it was not read
+            by this node.
+    """
 
     team: str
     revision: int
     refused_revision: int
     faults: list[str]
+    platform_revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformStatus:
+    """How the platform is read.
+
+    Attributes:
+        age_s: Time since any node read it, in s; negative if none did.
+        reader: Whether this node is to read it.
+        error: Why this node's last read failed.
+        list_doubted: Whether the list of instances changed too much at once.
+        behind: Teams whose revision there is lower than in force here.
+    """
+
+    age_s: float
+    reader: bool
+    calls: int
+    error: str
+    list_doubted: bool
+    behind: list[str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,35 +67,65 @@
 
     node: str
     ready: bool
+    state: str
     members: list[MemberStatus]
     teams: list[TeamStatus]
+    platform: PlatformStatus
 
 
 def collect(
     name: str,
-    ready: bool,
+    state: str,
     members: table.MemberTable,
     settings: store.SettingsStore,
+    reads: service.PlatformReads,
 ) -> Status:
     """Collects the status of a node."""
-    member_rows = [
-        MemberStatus(
-            entry.name,
-            entry.alive,
-            entry.leaving,
-            [w.name for w in entry.member.workers] if entry.member else [],
-        )
-        for entry in members.entries.values()
-    ]
     teams = sorted(set(settings.subtrees) | set(settings.refused))
-    return Status(name, ready, member_rows, [_team(t, settings) for t in teams])
+    return Status(
+        name,
+        state == "serving",
+        state,
+        [_member(entry) for entry in members.entries.values()],
+        [_team(t, settings, reads) for t in teams],
+        _platform(reads),
+    )
 
 
-def _team(team: str, settings: store.SettingsStore) -> TeamStatus:
+def _member(entry: table.Entry) -> MemberStatus:
+    workers = entry.member.workers if entry.member else []
+    return MemberStatus(
+        entry.name,
+        entry.alive,
+        entry.leaving,
+        [worker.name for worker in workers],
+        entry.state.name.lower(),
+        entry.reachable,
+        entry.reason,
+        entry.failure_domain,
+    )
+
+
+def _team(
+    team: str, settings: store.SettingsStore, reads: service.PlatformReads
+) -> TeamStatus:
     refused_revision, faults = settings.refused.get(team, (0, []))
     return TeamStatus(
         team,
         settings.revision(team),
         refused_revision,
         [str(f) for f in faults],
+        reads.reader.revisions.get(team, 0),
+    )
+
+
+def _platform(reads: service.PlatformReads) -> PlatformStatus:
+    age_s = reads.age_s
+    return PlatformStatus(
+        -1.0 if age_s is None else round(age_s, 1),
+        reads.rank.is_reader(),
+        reads.client.calls,
+        reads.reader.last_error,
+        reads.listing.doubted,
+        reads.reader.behind,
     )
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -8,6 +8,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import boot
 from sardinedoor_node import metrics
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
@@ -15,13 +16,12 @@
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import listener
 from sardinedoor_node.link import zeromq
-from sardinedoor_node.membership import prober
+from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
 from sardinedoor_node.owner import workers
 from sardinedoor_node.picking import twochoices
-from sardinedoor_node.platform import client
-from sardinedoor_node.platform import reader
+from sardinedoor_node.platform import service as platform_service
 from sardinedoor_node.settings import store
 from sardinedoor_node.util import clock
 from sardinedoor_node.util import tasks
@@ -34,6 +34,7 @@
 
 INCARNATION_BYTES = 16
 _POLL_S = 0.02
+_LEAVING_SPREAD_S = 0.5
 
 
 class Daemon:
@@ -54,6 +55,7 @@
         self._own = wire.Member(
             name=file.node.name,
             incarnation=incarnation,
+            epoch=int(self._clock.now().timestamp() * 1000),
             link=file.node.link,
             failure_domain=file.node.failure_domain,
             region=file.node.region,
@@ -63,14 +65,35 @@
             ],
         )
         self._store = store.SettingsStore()
-        self._members = table.MemberTable(self._own)
+        self._members = table.MemberTable(self._own, self._clock)
         self._transport = zeromq.ZeromqTransport(file.node.name, self._metrics)
-        self._prober = prober.Prober(
-            self._members, self._transport, self._clock
+        rng = random.Random()
+        self._membership = service.Membership(
+            self._members,
+            self._store,
+            self._transport,
+            self._clock,
+            rng,
+            self._tasks,
+        )
+        self._platform = platform_service.PlatformReads(
+            file.node.platform,
+            self._members,
+            self._store,
+            self._membership.pinger,
+            self._clock,
+            rng,
+            self._tasks,
         )
-        self._platform = client.PlatformClient(file.node.platform)
-        self._reader = reader.Reader(
-            self._platform, self._store, self._members, self._clock
+        self._boot = boot.Boot(
+            file.node.seeds,
+            self._members,
+            self._store,
+            self._membership,
+            self._transport,
+            self._platform.client,
+            self._clock,
+            rng,
         )
         self._workers = {
             name: workers.LocalWorker(name, worker)
@@ -93,8 +116,6 @@
 
     def _register(self) -> None:
         register = self._transport.on_message
-        register(wire.Hello, self._prober.on_message)
-        register(wire.Welcome, self._prober.on_message)
         register(wire.Offer, self._owner.on_offer)
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
@@ -106,17 +127,26 @@
         """Runs until a planned stop has finished."""
         node = self._file.node
         self._transport.bind(node.link)
-        self._tasks.spawn(self._prober.run(), "prober")
-        self._tasks.spawn(self._reader.watch_settings(), "settings")
-        self._tasks.spawn(self._reader.watch_instances(), "instances")
+        self._members.on_change(self._on_member)
+        self._membership.start()
         self._listen_admin(node.admin)
-        await self._reader.settings_seen.wait()
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
-        logger.info("serving")
+        starting = self._tasks.spawn(self._start(), "boot")
         await self._stopping.wait()
+        starting.cancel()
         await self._drain()
 
+    async def _start(self) -> None:
+        await self._boot.run(self._platform.start)
+        self._membership.sync.serving = True
+        self._ingress.starting = False
+        logger.info("serving")
+
+    def _on_member(self, entry: table.Entry) -> None:
+        if entry.name == self._own.name and entry.leaving:
+            self._owner.leaving = True
+
     def stop(self) -> None:
         """Begins the planned stop; more calls change nothing."""
         self._stopping.set()
@@ -131,20 +161,21 @@
     def _status(self) -> status.Status:
         return status.collect(
             self._file.node.name,
-            self._reader.settings_seen.is_set(),
+            self._boot.state,
             self._members,
             self._store,
+            self._platform,
         )
 
     async def _drain(self) -> None:
         logger.info("draining")
-        self._own.leaving = True
         self._owner.leaving = True
-        self._members.heard(self._own)
+        self._members.mark_leaving(self._own.name, "planned stop")
+        self._membership.gossip.flush()
         self._ingress.stop()
         end = self._clock.monotonic() + self._file.node.drain_ms / 1000
-        # One probe interval lets every peer hear that the node is leaving.
-        await self._clock.sleep(prober.INTERVAL_S)
+        # Lets the news that the node is leaving cross the fleet.
+        await self._clock.sleep(_LEAVING_SPREAD_S)
         while self._clock.monotonic() < end:
             if not self._owner.busy and not self._ingress.busy:
                 break
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -46,6 +46,7 @@
         self._tasks = tasks.TaskGroup()
         self._servers: list[httpserver.HTTPServer] = []
         self.leaving = False
+        self.starting = True
         settings_store.on_change(self._on_settings)
 
     @property
@@ -108,6 +109,8 @@
     async def _handle(
         self, request: httputil.HTTPServerRequest, public: bool
     ) -> forward.Forwarded:
+        if self.starting:
+            return forward.Forwarded(codes.Code.NODE_STARTING)
         matched = self._routes.match(request.method, request.path, public)
         if matched.is_err():
             return forward.Forwarded(matched.unwrap_err())
--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -44,3 +44,10 @@
     @abc.abstractmethod
     def on_message(self, cls: type[base.Message], receiver: Receiver) -> None:
         """Registers the receiver of one class of messages."""
+
+    def disconnect(self, name: str) -> None:  # noqa: B027
+        """Closes the channel to a peer, if one is open.
+
+        Args:
+            name: Name under which it was opened.
+        """
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -134,7 +134,7 @@
         return channel
 
     def disconnect(self, name: str) -> None:
-        """Closes the link to a peer."""
+        """See base class."""
         peer = self._peers.pop(name, None)
         if peer is not None:
             peer.task.cancel()
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/membership/targets.py
@@ -0,0 +1,71 @@
+"""Index of targets by service, kept up to date member by member."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sardinedoor_schema.generated import wire
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """A worker, and the node through which work reaches it."""
+
+    worker: str
+    service: str
+    node: str
+    ejected: bool
+    failure_domain: str = ""
+
+
+class TargetIndex:
+    """Targets of usable members."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, list[Target]] = {}
+        self._members: dict[str, wire.Member] = {}
+
+    def targets(self, service: str) -> list[Target]:
+        """Lists the targets of a service; the list is never changed later."""
+        return self._services.get(service, [])
+
+    def put(self, member: wire.Member) -> None:
+        """Replaces the targets of one member."""
+        if self._members.get(member.name) is member:
+            return
+        self.drop(member.name)
+        self._members[member.name] = member
+        for service, workers in _by_service(member).items():
+            added = [
+                Target(
+                    worker.name,
+                    service,
+                    member.name,
+                    worker.ejected,
+                    member.failure_domain,
+                )
+                for worker in workers
+            ]
+            self._services[service] = self.targets(service) + added
+
+    def drop(self, name: str) -> None:
+        """Removes the targets of one member."""
+        member = self._members.pop(name, None)
+        if member is None:
+            return
+        for service in {w.service for w in member.workers}:
+            rest = [t for t in self.targets(service) if t.node != name]
+            if rest:
+                self._services[service] = rest
+            else:
+                del self._services[service]
+
+
+def _by_service(member: wire.Member) -> dict[str, list[wire.Worker]]:
+    services: dict[str, list[wire.Worker]] = {}
+    for worker in member.workers:
+        services.setdefault(sys.intern(worker.service), []).append(worker)
+    return services
--- a/packages/node/src/sardinedoor_node/platform/client.py
+++ b/packages/node/src/sardinedoor_node/platform/client.py
@@ -11,6 +11,7 @@
 from sardinedoor_schema.generated import platform
 
 _GRACE_S = 5.0
+_MAX_REPLY_BYTES = 8 * 1024 * 1024
 
 
 class PlatformClient:
@@ -23,7 +24,10 @@
             address: IP number and port of the configuration service.
         """
         self._base = f"http://{address}/v1"
-        self._http = httpclient.AsyncHTTPClient(force_instance=True)
+        self.calls = 0
+        self._http = httpclient.AsyncHTTPClient(
+            force_instance=True, max_body_size=_MAX_REPLY_BYTES
+        )
 
     async def settings_index(
         self, after: int, wait_s: float
@@ -38,13 +42,26 @@
         return await self._get(path, platform.Subtree, 0)
 
     async def instances(
-        self, after: int, wait_s: float
+        self, after: int, wait_s: float, failure_domain: str = ""
     ) -> result.Result[platform.InstanceList, str]:
-        """Waits until the index of instances is higher than `after`."""
+        """Waits until the index of instances is higher than `after`.
+
+        Args:
+            after: Index of the list at hand.
+            wait_s: Longest wait, in s.
+            failure_domain: Of the instances wanted; empty for all.
+
+        Returns:
+            The list, or why there is none.
+        """
         path = f"/instances?after={after}&wait={wait_s}"
+        if failure_domain:
+            name = urllib.parse.quote(failure_domain, safe="")
+            path += f"&failure_domain={name}"
         return await self._get(path, platform.InstanceList, wait_s)
 
     async def _get(self, path: str, cls: type, wait_s: float) -> result.Result:
+        self.calls += 1
         request = httpclient.HTTPRequest(
             self._base + path,
             follow_redirects=False,
--- a/packages/node/src/sardinedoor_node/settings/tree.py
+++ b/packages/node/src/sardinedoor_node/settings/tree.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import re
+from typing import TYPE_CHECKING
 
 import result
 
+from sardinedoor_schema import faults
 from sardinedoor_schema import ini
 from sardinedoor_schema.generated import settings
 
+if TYPE_CHECKING:
+    from collections.abc import Generator
+    from collections.abc import Iterator
+
+MAX_SUBTREE_BYTES = 1024 * 1024
+_SLICE_SECTIONS = 16
 _SERVICE_PREFIX = "service "
 _ROUTE_PREFIX = "route "
+_SECTION_START = re.compile(r"^\[", re.MULTILINE)
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,11 +32,13 @@
     revision: int
     services: dict[str, settings.ServiceSettings]
     routes: dict[str, settings.RouteSettings]
+    confirm_removal: list[str] = dataclasses.field(default_factory=list)
 
 
-def parse(
-    team: str, revision: int, text: str
-) -> result.Result[Subtree, list[ini.Fault]]:
+Parsed = result.Result[Subtree, list[ini.Fault]]
+
+
+def parse(team: str, revision: int, text: str) -> Parsed:
     """Parses a team's subtree.
 
     Args:
@@ -36,27 +49,85 @@
     Returns:
         The subtree, or all faults.
     """
-    reader = ini.Reader(team, text)
-    header = reader.convert("team", settings.TeamSettings)
-    if header is not None and header.name != team:
-        reader.fault("team", "name", f"{header.name!r} is not {team!r}")
+    steps = _parse_slices(team, revision, text)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as e:
+            return e.value
+
+
+async def parse_in_slices(team: str, revision: int, text: str) -> Parsed:
+    """Parses like `parse`, but lets other tasks run between slices."""
+    steps = _parse_slices(team, revision, text)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as e:
+            return e.value
+        await asyncio.sleep(0)
+
+
+def _parse_slices(
+    team: str, revision: int, text: str
+) -> Generator[None, None, Parsed]:
+    size = len(text.encode())
+    if size > MAX_SUBTREE_BYTES:
+        reason = f"{size} bytes; at most {MAX_SUBTREE_BYTES} are allowed"
+        fault = ini.Fault(team, "", "", reason, faults.FaultCode.TOO_LARGE)
+        return result.Err([fault])
     subtree = Subtree(team, revision, {}, {})
-    for section in reader.sections():
-        _convert_section(reader, section, subtree)
+    found: list[ini.Fault] = []
+    seen: set[str] = set()
+    for lines_before, part in _slices(text):
+        reader = ini.Reader(team, part)
+        if reader.faults:
+            # Again with the lines before, so that the fault names its line.
+            reader = ini.Reader(team, "\n" * lines_before + part)
+        for section in reader.sections():
+            if section in seen:
+                reader.fault(section, "", "section stands twice")
+            seen.add(section)
+            _convert_section(reader, section, subtree)
+        found.extend(reader.faults)
+        yield
+    found.extend(_check_whole(subtree, seen))
+    return result.Err(found) if found else result.Ok(subtree)
+
+
+def _slices(text: str) -> Iterator[tuple[int, str]]:
+    """Splits a text before section headers.
+
+    Yields:
+        The number of lines before a slice, and the slice.
+    """
+    starts = [match.start() for match in _SECTION_START.finditer(text)]
+    cuts = [0, *starts[_SLICE_SECTIONS::_SLICE_SECTIONS], len(text)]
+    lines = 0
+    for start, end in zip(cuts, cuts[1:], strict=False):
+        part = text[start:end]
+        yield lines, part
+        lines += part.count("\n")
+
+
+def _check_whole(subtree: Subtree, seen: set[str]) -> Iterator[ini.Fault]:
+    if "team" not in seen:
+        yield ini.Fault(subtree.team, "team", "", "section is missing")
     for name, route in subtree.routes.items():
         if route.service not in subtree.services:
-            reader.fault(
-                _ROUTE_PREFIX + name, "service", "is not one of the team's"
+            yield ini.Fault(
+                subtree.team,
+                _ROUTE_PREFIX + name,
+                "service",
+                "is not one of the team's",
             )
-    if reader.faults:
-        return result.Err(reader.faults)
-    return result.Ok(subtree)
 
 
 def _convert_section(
     reader: ini.Reader, section: str, subtree: Subtree
 ) -> None:
     if section == "team":
+        _convert_team(reader, subtree)
         return
     if section.startswith(_SERVICE_PREFIX):
         service = reader.convert(section, settings.ServiceSettings)
@@ -70,3 +141,13 @@
             subtree.routes[section.removeprefix(_ROUTE_PREFIX)] = route
         return
     reader.fault(section, "", "unknown section")
+
+
+def _convert_team(reader: ini.Reader, subtree: Subtree) -> None:
+    header = reader.convert("team", settings.TeamSettings)
+    if header is None:
+        return
+    if header.name != subtree.team:
+        reason = f"{header.name!r} is not {subtree.team!r}"
+        reader.fault("team", "name", reason)
+    subtree.confirm_removal = header.confirm_removal
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -16,14 +16,23 @@
 _PREFIX_BYTES = 2
 
 _TYPES: dict[int, type[base.Message]] = {
-    1: wire.Hello,
-    2: wire.Welcome,
+    3: wire.Ping,
+    4: wire.Ack,
+    5: wire.Nack,
+    6: wire.PingRequest,
+    7: wire.Gossip,
+    8: wire.SyncRequest,
+    9: wire.Sync,
     10: wire.Offer,
     11: wire.Held,
     12: wire.Go,
     13: wire.Cancel,
     14: wire.Reply,
     15: wire.Refusal,
+    20: wire.MemberPull,
+    21: wire.MemberBodies,
+    22: wire.SettingsPull,
+    23: wire.SettingsBodies,
 }
 _NUMBERS = {cls: number for number, cls in _TYPES.items()}
 _DECODERS = {n: msgspec.msgpack.Decoder(cls) for n, cls in _TYPES.items()}
--- a/packages/schema/src/sardinedoor_schema/ini.py
+++ b/packages/schema/src/sardinedoor_schema/ini.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import configparser
+import functools
 import typing
 from typing import TypeVar
 
 import msgspec
 
 from sardinedoor_schema import base
+from sardinedoor_schema import faults
 
 _T = TypeVar("_T", bound=base.Message)
 
@@ -20,9 +22,11 @@
     section: str
     key: str
     reason: str
+    code: int = faults.FaultCode.INVALID
 
     def __str__(self) -> str:
-        return f"{self.file}: [{self.section}] {self.key}: {self.reason}"
+        place = f"{self.file}: [{self.section}] {self.key}"
+        return f"{place}: {self.reason} ({int(self.code)})"
 
 
 class Reader:
@@ -69,9 +73,8 @@
             self.fault(section, "", "section is missing")
             return None
         raw: dict[str, object] = dict(self._parser.items(section))
-        hints = typing.get_type_hints(cls)
         for key in raw:
-            if typing.get_origin(hints.get(key)) is list:
+            if key in _list_keys(cls):
                 raw[key] = _split(str(raw[key]))
         return self._convert_each(section, cls, raw)
 
@@ -79,7 +82,7 @@
         self, section: str, cls: type[_T], raw: dict[str, object]
     ) -> _T | None:
         before = len(self.faults)
-        fields = {f.name: f for f in msgspec.structs.fields(cls)}
+        fields = _fields(cls)
         values = {}
         for key, value in raw.items():
             if key not in fields:
@@ -100,6 +103,19 @@
         return cls(**values)
 
 
+@functools.cache
+def _fields(cls: type[base.Message]) -> dict[str, msgspec.structs.FieldInfo]:
+    return {field.name: field for field in msgspec.structs.fields(cls)}
+
+
+@functools.cache
+def _list_keys(cls: type[base.Message]) -> frozenset[str]:
+    hints = typing.get_type_hints(cls)
+    return frozenset(
+        k for k, v in hints.items() if typing.get_origin(v) is list
+    )
+
+
 def _split(text: str) -> list[str]:
     parts = text.replace("\n", ",").split(",")
     return [part.strip() for part in parts if part.strip()]
