--- a/packages/standins/src/sardinedoor_standins/platform.py
+++ b/packages/standins/src/sardinedoor_standins/platform.py
@@ -12,93 +12,80 @@
 import typer
 
 from sardinedoor_schema.generated import platform
+from sardinedoor_standins import board as platform_board
 
-_MAX_WAIT_S = 60.0
-
-
-class Board:
-    """Values with an index that grows with each change."""
-
-    def __init__(self) -> None:
-        self.settings_index = 0
-        self.instances_index = 0
-        self.subtrees: dict[str, platform.Subtree] = {}
-        self.instances: dict[str, platform.Instance] = {}
-        self.reads = 0
-        self._changed = asyncio.Condition()
-
-    async def put_subtree(self, team: str, text: str) -> platform.Subtree:
-        """Stores a new revision of a team's subtree."""
-        self.settings_index += 1
-        subtree = platform.Subtree(team, self.settings_index, text)
-        self.subtrees[team] = subtree
-        await self._notify()
-        return subtree
-
-    async def put_instances(self, instances: list[platform.Instance]) -> None:
-        """Replaces the list of instances."""
-        self.instances_index += 1
-        self.instances = {i.name: i for i in instances}
-        await self._notify()
-
-    async def _notify(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
-
-    async def wait(self, attribute: str, after: int, wait_s: float) -> None:
-        """Waits until an index is higher than `after`, or time is up."""
-        try:
-            async with asyncio.timeout(min(wait_s, _MAX_WAIT_S)):
-                async with self._changed:
-                    await self._changed.wait_for(
-                        lambda: getattr(self, attribute) > after
-                    )
-        except TimeoutError:
-            pass
+_HANG_S = 3600.0
 
 
 class _Handler(web.RequestHandler):
-    def initialize(self, board: Board) -> None:
+    def initialize(self, board: platform_board.Board) -> None:
         self._board = board
 
     def _reply(self, body: object) -> None:
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(body))
 
-    async def _watch(self, attribute: str) -> None:
-        self._board.reads += 1
-        after = int(self.get_query_argument("after", "0"))
-        wait_s = float(self.get_query_argument("wait", "0"))
-        if wait_s > 0:
-            await self._board.wait(attribute, after, wait_s)
 
+class _ReadHandler(_Handler):
+    """Nodes' side: each call is counted, and meets the faults."""
+
+    kind = ""
+
+    async def prepare(self) -> None:
+        calls = self._board.calls
+        setattr(calls, self.kind, getattr(calls, self.kind) + 1)
+        if self._board.faults.hang:
+            await asyncio.sleep(_HANG_S)
+        self._refuse_if_down()
+
+    def _refuse_if_down(self) -> None:
+        if self._board.faults.down:
+            raise web.HTTPError(503)
+
+    @property
+    def _after(self) -> int:
+        return int(self.get_query_argument("after", "0"))
+
+    @property
+    def _wait_s(self) -> float:
+        return float(self.get_query_argument("wait", "0"))
+
+
+class _SettingsHandler(_ReadHandler):
+    kind = "settings"
 
-class _SettingsHandler(_Handler):
     async def get(self) -> None:
-        await self._watch("settings_index")
-        board = self._board
+        await self._board.wait_settings(self._after, self._wait_s)
+        self._refuse_if_down()
+        view = self._board.view()
         teams = [
             platform.TeamRevision(s.team, s.revision)
-            for s in board.subtrees.values()
+            for s in view.subtrees.values()
         ]
-        self._reply(platform.SettingsIndex(board.settings_index, teams))
+        self._reply(platform.SettingsIndex(view.settings_index, teams))
 
 
-class _SubtreeHandler(_Handler):
+class _SubtreeHandler(_ReadHandler):
+    kind = "subtree"
+
     async def get(self, team: str) -> None:
-        self._board.reads += 1
-        subtree = self._board.subtrees.get(team)
+        subtree = self._board.view().subtrees.get(team)
         if subtree is None:
             raise web.HTTPError(404)
         self._reply(subtree)
 
 
-class _InstancesHandler(_Handler):
+class _InstancesHandler(_ReadHandler):
+    kind = "instances"
+
     async def get(self) -> None:
-        await self._watch("instances_index")
+        domain = self.get_query_argument("failure_domain", "")
         board = self._board
-        instances = list(board.instances.values())
-        self._reply(platform.InstanceList(board.instances_index, instances))
+        await board.wait_instances(domain, self._after, self._wait_s)
+        self._refuse_if_down()
+        index = board.instances_index(domain)
+        instances = board.instances(domain)
+        self._reply(platform.InstanceList(index, instances))
 
 
 class _EditHandler(_Handler):
@@ -118,12 +105,28 @@
         self.finish()
 
 
+class _FaultsHandler(_Handler):
+    async def put(self) -> None:
+        faults = msgspec.json.decode(
+            self.request.body, type=platform_board.Faults
+        )
+        await self._board.set_faults(faults)
+        self.finish()
+
+
+class _RestoreHandler(_Handler):
+    async def put(self) -> None:
+        await self._board.restore()
+        self.finish()
+
+
 class _ReadsHandler(_Handler):
     async def get(self) -> None:
-        self._reply({"reads": self._board.reads})
+        calls = self._board.calls
+        self._reply({"reads": calls.total, "calls": calls})
 
 
-def make_application(board: Board) -> web.Application:
+def make_application(board: platform_board.Board) -> web.Application:
     """Builds the application."""
     arguments = {"board": board}
     return web.Application(
@@ -133,6 +136,8 @@
             ("/v1/instances", _InstancesHandler, arguments),
             ("/edit/settings/([^/]+)", _EditHandler, arguments),
             ("/edit/instances", _EditInstancesHandler, arguments),
+            ("/edit/faults", _FaultsHandler, arguments),
+            ("/edit/restore", _RestoreHandler, arguments),
             ("/edit/reads", _ReadsHandler, arguments),
         ],
         log_function=lambda handler: None,
@@ -140,7 +145,7 @@
 
 
 async def _run(address: str, tree: pathlib.Path | None) -> None:
-    board = Board()
+    board = platform_board.Board()
     if tree is not None:
         for path in sorted(tree.glob("*.ini")):
             await board.put_subtree(path.stem, path.read_text())
