Cut idle control traffic and wake-ups

Cause: of 5,052 B/s sent per idle node (8 nodes), nearly all were ZMTP heartbeats, sent by both ends of each link each 300 ms; and three loops woke 35 times a second. Now only the connecting end of a request link probes (the other closes by its TTL), control links are apart, probed by the pings alone, and closed when the rings change; a missed ping tries a fresh connection first.

--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -10,6 +10,9 @@
     from sardinedoor_schema import base
 
 
+CONTROL_SUFFIX = "/control"
+
+
 class Channel(abc.ABC):
     """One way to send messages to one peer."""
 
@@ -45,6 +48,22 @@
     def on_message(self, cls: type[base.Message], receiver: Receiver) -> None:
         """Registers the receiver of one class of messages."""
 
+    def connect_control(self, name: str, address: str) -> Channel:
+        """Returns a channel to a peer for control messages only.
+
+        It is apart from the one for requests, so that neither waits for the
+        other, and its users probe it themselves.
+
+        Args:
+            name: Name of the peer.
+            address: IP number and port of the peer's link listener.
+        """
+        return self.connect(name + CONTROL_SUFFIX, address)
+
+    def disconnect_control(self, name: str) -> None:
+        """Closes the channel for control messages, if one is open."""
+        self.disconnect(name + CONTROL_SUFFIX)
+
     def disconnect(self, name: str) -> None:  # noqa: B027
         """Closes the channel to a peer, if one is open.
 
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -24,15 +24,26 @@
 HEARTBEAT_INTERVAL_MS = 300
 HEARTBEAT_TIMEOUT_MS = 900
 _QUEUE_FRAMES = 1000
+_KEEPALIVE_S = 30
+_RECONNECT_MAX_MS = 1000
+_ROUTER_CHANNELS = 4096
 
 
 def _configure(socket: zmq.Socket) -> None:
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, _QUEUE_FRAMES)
     socket.setsockopt(zmq.RCVHWM, _QUEUE_FRAMES)
+    socket.setsockopt(zmq.MAXMSGSIZE, frames.MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_S)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+
+
+def _configure_heartbeat(socket: zmq.Socket) -> None:
+    """Lets the connecting side probe; the other closes when it stops."""
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-    socket.setsockopt(zmq.MAXMSGSIZE, frames.MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
 
 
 class DealerChannel(link.Channel):
@@ -109,6 +120,17 @@
         """See base class."""
         if name == self._own_name:
             return self._local
+        return self._connect(name, address, heartbeat=True)
+
+    def connect_control(self, name: str, address: str) -> link.Channel:
+        """See base class."""
+        return self._connect(
+            name + link.CONTROL_SUFFIX, address, heartbeat=False
+        )
+
+    def _connect(
+        self, name: str, address: str, heartbeat: bool
+    ) -> link.Channel:
         peer = self._peers.get(name)
         if peer is not None and peer.address == address:
             return peer.channel
@@ -116,6 +138,8 @@
             self.disconnect(name)
         dealer = self._context.socket(zmq.DEALER)
         _configure(dealer)
+        if heartbeat:
+            _configure_heartbeat(dealer)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
         dealer.connect(f"tcp://{address}")
         channel = DealerChannel(port.Port(dealer))
@@ -139,6 +163,8 @@
             identity, frame = parts
             channel = channels.get(identity)
             if channel is None:
+                if len(channels) >= _ROUTER_CHANNELS:
+                    channels.clear()
                 channel = RouterChannel(router, identity)
                 channels[identity] = channel
             self._dispatcher.receive(channel, frame)
--- a/packages/node/src/sardinedoor_node/membership/bodies.py
+++ b/packages/node/src/sardinedoor_node/membership/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING
 
@@ -46,11 +47,13 @@
         self._rng = rng
         self._wanted: set[str] = set()
         self._asked: set[str] = set()
+        self._wake = asyncio.Event()
         members.on_change(self._on_change)
 
     def _on_change(self, entry: table.Entry) -> None:
         if entry.outdated:
             self._wanted.add(entry.name)
+            self._wake.set()
         else:
             self._wanted.discard(entry.name)
             self._asked.discard(entry.name)
@@ -58,12 +61,16 @@
     async def run(self) -> None:
         """Fetches until cancelled."""
         while True:
-            if self._wanted:
+            await self._wake.wait()
+            while self._wanted:
+                await self._clock.sleep(_TICK_S)
                 await self._fetch()
-            await self._clock.sleep(_TICK_S)
+            self._wake.clear()
 
     async def _fetch(self) -> None:
         names = sorted(self._wanted)[:_MAX_NAMES]
+        if not names:
+            return
         channel = self._source(names)
         self._asked.update(names)
         if channel is None or not channel.send(wire.MemberPull(names)):
--- a/packages/node/src/sardinedoor_node/membership/lag.py
+++ b/packages/node/src/sardinedoor_node/membership/lag.py
@@ -9,7 +9,6 @@
 
     from sardinedoor_node.util import clock
 
-TICK_S = 0.1
 LEASE_S = 1.0
 
 
@@ -46,9 +45,3 @@
         for listener in self._listeners:
             listener(gap)
         return True
-
-    async def run(self) -> None:
-        """Checks until cancelled."""
-        while True:
-            self.check()
-            await self._clock.sleep(TICK_S)
--- a/packages/node/src/sardinedoor_node/membership/neighbours.py
+++ b/packages/node/src/sardinedoor_node/membership/neighbours.py
@@ -58,7 +58,12 @@
 
     def channel(self, name: str) -> link.Channel:
         """Returns the channel to a watched member."""
-        return self._transport.connect(name, self._members.entries[name].link)
+        address = self._members.entries[name].link
+        return self._transport.connect_control(name, address)
+
+    def reopen(self, name: str) -> None:
+        """Closes the link to a member; the next use opens a fresh one."""
+        self._transport.disconnect_control(name)
 
     def channels(self) -> dict[str, link.Channel]:
         """Returns the channels to all neighbours, by name."""
--- a/packages/node/src/sardinedoor_node/membership/prober.py
+++ b/packages/node/src/sardinedoor_node/membership/prober.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 from typing import TYPE_CHECKING
@@ -12,8 +13,6 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
-    import asyncio
-
     from sardinedoor_node import link
     from sardinedoor_node.membership import lag
     from sardinedoor_node.membership import neighbours
@@ -30,7 +29,7 @@
 REVISIT_S = 5.0
 FORGET_TICK_S = 30.0
 _ALONE_MISSES = 3
-_TICK_S = 0.2
+_TICK_S = 0.25
 
 
 class Prober:
@@ -87,6 +86,7 @@
         wanted = set(self._near.watched())
         for name in set(self._watches) - wanted:
             self._watches.pop(name).cancel()
+            self._near.reopen(name)
         for name in wanted - set(self._watches):
             task = self._tasks.spawn(self._watch(name), f"watch-{name}")
             self._watches[name] = task
@@ -107,7 +107,14 @@
         if await self._pinger.ping(name, channel):
             self._answered(entry, channel)
             return True
-        answer = await self._ask_helpers(entry)
+        # A connection that went silent is no evidence against the member.
+        self._near.reopen(name)
+        fresh, answer = await asyncio.gather(
+            self._pinger.ping_once(name, entry.link), self._ask_helpers(entry)
+        )
+        if fresh is not None:
+            self._answered(entry, fresh)
+            return True
         if self._guard.check() or self._gaps != gaps or self._members.stale:
             return True
         self._members.set_reachable(name, False, "no answer to this node")
--- a/packages/node/src/sardinedoor_node/membership/service.py
+++ b/packages/node/src/sardinedoor_node/membership/service.py
@@ -101,7 +101,6 @@
 
     def start(self) -> None:
         """Starts the tasks."""
-        self._tasks.spawn(self.guard.run(), "lag")
         self._tasks.spawn(self.prober.run(), "prober")
         self._tasks.spawn(self.gossip.run(), "gossip")
         self._tasks.spawn(self.fetcher.run(), "bodies")
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -317,6 +317,17 @@
             entry.run_since = self._clock.monotonic()
         entry.reason = reason
         entry.changed_at = self._clock.monotonic()
+        level = logging.INFO if entry.state else logging.DEBUG
+        logger.log(
+            level,
+            "member",
+            extra={
+                "member": entry.name,
+                "state": entry.state.name,
+                "leaving": entry.leaving,
+                "reason": reason,
+            },
+        )
         self._changed(entry, True)
 
     def _take_body_digest(self, entry: Entry, record: wire.MemberState) -> None:
