Refuse malformed requests with numbered codes and hide internal routes

Cause: the HTTP library answers a bare 400 to a malformed head and closes the connection on a head that is too large, so callers got no result code. A public route at a shorter prefix also served the path of an internal one.

Ruled out: a parser of our own (the library's is kept; its reader is overridden at the four places where it refuses); answering on the closed stream (the connection is gone by then, so the stream answers first).

With the comparison of folded internal prefixes switched off, the table of tricks fails.

--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -8,6 +8,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import drain
 from sardinedoor_node import metrics
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
@@ -33,7 +34,6 @@
 logger = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 16
-_POLL_S = 0.02
 
 
 class Daemon:
@@ -87,7 +87,18 @@
             self._clock,
         )
         self._ingress = listener.Ingress(
-            self._store, self._forwarder, self._metrics, self._clock
+            self._store,
+            self._forwarder,
+            self._metrics,
+            self._clock,
+            file.node.connections,
+        )
+        self._drainer = drain.Drain(
+            self._members,
+            self._owner,
+            self._ingress.server,
+            self._prober.announce,
+            self._clock,
         )
         self._register()
 
@@ -109,6 +120,7 @@
         self._tasks.spawn(self._prober.run(), "prober")
         self._tasks.spawn(self._reader.watch_settings(), "settings")
         self._tasks.spawn(self._reader.watch_instances(), "instances")
+        self._tasks.spawn(self._drainer.watch(), "leaving-watch")
         self._listen_admin(node.admin)
         await self._reader.settings_seen.wait()
         self._ingress.listen(node.public, public=True)
@@ -137,20 +149,10 @@
         )
 
     async def _drain(self) -> None:
-        logger.info("draining")
-        self._own.leaving = True
-        self._owner.leaving = True
-        self._members.heard(self._own)
-        self._ingress.stop()
-        end = self._clock.monotonic() + self._file.node.drain_ms / 1000
-        # One probe interval lets every peer hear that the node is leaving.
-        await self._clock.sleep(prober.INTERVAL_S)
-        while self._clock.monotonic() < end:
-            if not self._owner.busy and not self._ingress.busy:
-                break
-            await self._clock.sleep(_POLL_S)
+        node = self._file.node
+        await self._drainer.run(node.drain_ms / 1000, node.drain_idle_ms / 1000)
         await self._tasks.cancel()
-        await self._ingress.close()
+        await self._ingress.server.close()
         await self._transport.close()
         self._platform.close()
         logger.info("stopped")
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/drain.py
@@ -0,0 +1,98 @@
+"""The planned stop of a node."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sardinedoor_node.ingress import server
+    from sardinedoor_node.membership import table
+    from sardinedoor_node.owner import exchange
+    from sardinedoor_node.util import clock
+
+logger = logging.getLogger(__name__)
+
+POLL_S = 0.02
+# Peers that were told nothing learn it from a refusal in this time.
+NOTICE_S = 0.5
+WATCH_INTERVAL_S = 0.2
+
+
+class Drain:
+    """Ends a node's work without cutting a request."""
+
+    def __init__(
+        self,
+        members: table.MemberTable,
+        owner: exchange.Owner,
+        listeners: server.Server,
+        announce: Callable[[], None],
+        time: clock.Clock,
+    ):
+        """Prepares the stop.
+
+        Args:
+            members: Holds the node's own record, and what others say of it.
+            owner: Refuses new offers once the node is leaving.
+            listeners: The callers' connections.
+            announce: Tells peers the node's own record at once.
+            time: Paces the waiting.
+        """
+        self._members = members
+        self._owner = owner
+        self._server = listeners
+        self._announce = announce
+        self._clock = time
+
+    async def watch(self) -> None:
+        """Refuses offers once the platform's list says that we leave."""
+        while not self._owner.leaving:
+            entry = self._members.entries.get(self._members.own.name)
+            if entry is not None and entry.leaving:
+                logger.info("listed as leaving")
+                self._leave()
+                return
+            await self._clock.sleep(WATCH_INTERVAL_S)
+
+    def _leave(self) -> None:
+        self._owner.leaving = True
+        own = self._members.own
+        own.leaving = True
+        self._members.heard(own)
+        self._announce()
+
+    async def run(self, limit_s: float, idle_s: float) -> None:
+        """Drains the node.
+
+        Args:
+            limit_s: Longest time in all, in s.
+            idle_s: Time that an idle connection gets for a next request,
+                in s.
+        """
+        begun = self._clock.monotonic()
+        logger.info("draining")
+        self._leave()
+        await self._server.stop_accepting()
+        while self._clock.monotonic() - begun < limit_s:
+            self._server.close_idle(idle_s)
+            noticed = self._clock.monotonic() - begun >= NOTICE_S
+            if noticed and self._finished():
+                return
+            await self._clock.sleep(POLL_S)
+        logger.warning(
+            "drain limit reached",
+            extra={
+                "requests": self._server.busy,
+                "exchanges": self._owner.busy,
+            },
+        )
+
+    def _finished(self) -> bool:
+        return (
+            self._server.connections == 0
+            and self._server.busy == 0
+            and self._owner.busy == 0
+        )
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -1,4 +1,4 @@
-"""HTTP listener for callers."""
+"""Turns callers' requests into jobs, and outcomes into responses."""
 
 from __future__ import annotations
 
@@ -6,13 +6,15 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from tornado import httpserver
 from tornado import httputil
 
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import headers
+from sardinedoor_node.ingress import paths
+from sardinedoor_node.ingress import responses
 from sardinedoor_node.ingress import routes
-from sardinedoor_node.util import tasks
+from sardinedoor_node.ingress import server
+from sardinedoor_node.ingress import tls
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
@@ -23,13 +25,12 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 1024 * 1024
-MAX_HEADER_BYTES = 64 * 1024
+DEFAULT_MAX_CONNECTIONS = 4096
 _ID_BYTES = 8
 
 
-class Ingress:
-    """Turns callers' requests into jobs, and outcomes into responses."""
+class Ingress(server.Handler):
+    """Serves the requests of the node's listeners."""
 
     def __init__(
         self,
@@ -37,21 +38,28 @@
         forwarder: forward.Forwarder,
         counters: metrics.Metrics,
         time: clock.Clock,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        tls_context: tls.TlsContext | None = None,
     ):
         self._store = settings_store
         self._forwarder = forwarder
         self._metrics = counters
         self._clock = time
         self._routes = routes.RouteTable([])
-        self._tasks = tasks.TaskGroup()
-        self._servers: list[httpserver.HTTPServer] = []
-        self.leaving = False
+        self._server = server.Server(
+            self, counters, time, max_connections, tls_context
+        )
         settings_store.on_change(self._on_settings)
 
+    @property
+    def server(self) -> server.Server:
+        """The listeners and their connections."""
+        return self._server
+
     @property
     def busy(self) -> int:
         """Number of requests that are not finished."""
-        return len(self._tasks)
+        return self._server.busy
 
     def _on_settings(self) -> None:
         self._routes = routes.RouteTable(self._store.subtrees.values())
@@ -63,122 +71,151 @@
             address: IP number and port.
             public: Whether its callers are outside.
         """
-        host, _, port = address.rpartition(":")
-
-        def receive(request: httputil.HTTPServerRequest) -> None:
-            self._tasks.spawn(self._serve(request, public), "request")
-
-        server = httpserver.HTTPServer(
-            receive,
-            max_body_size=MAX_BODY_BYTES,
-            max_header_size=MAX_HEADER_BYTES,
+        self._server.listen(address, public)
+
+    def check(self, request: server.Request) -> codes.Code | None:
+        """See base class."""
+        key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
+        if not headers.is_key(key):
+            return codes.Code.BAD_REQUEST
+        parsed = paths.parse(request.raw_target)
+        if parsed.is_err():
+            return parsed.unwrap_err()
+        request.target = parsed.unwrap()
+        matched = self._routes.match(
+            request.method, request.target.path, request.public
         )
-        server.listen(int(port), address=host.strip("[]"))
-        self._servers.append(server)
-
-    def stop(self) -> None:
-        """Accepts no more connections."""
-        self.leaving = True
-        for server in self._servers:
-            server.stop()
-
-    async def close(self) -> None:
-        """Closes the connections that are left."""
-        for server in self._servers:
-            await server.close_all_connections()
-
-    async def _serve(
-        self, request: httputil.HTTPServerRequest, public: bool
-    ) -> None:
-        request_id = request.headers.get(
-            headers.REQUEST_ID, secrets.token_hex(_ID_BYTES)
-        )
-        outcome = await self._handle(request, public)
+        if matched.is_err():
+            return matched.unwrap_err()
+        request.route = matched.unwrap()
+        return None
+
+    async def serve(self, request: server.Request) -> None:
+        """See base class."""
+        request_id = headers.request_id(request.headers)
+        if request_id is None:
+            request_id = secrets.token_hex(_ID_BYTES)
+        outcome = await self._forward(request, request_id)
         self._metrics.result(outcome.code)
-        logger.info(
-            "request",
-            extra={
-                "request_id": request_id,
-                "target": outcome.worker,
-                "code": int(outcome.code),
-            },
-        )
+        self._log(request, request_id, outcome)
         self._respond(request, request_id, outcome)
 
-    async def _handle(
-        self, request: httputil.HTTPServerRequest, public: bool
+    async def _forward(
+        self, request: server.Request, request_id: str
     ) -> forward.Forwarded:
-        matched = self._routes.match(request.method, request.path, public)
-        if matched.is_err():
-            return forward.Forwarded(matched.unwrap_err())
-        route = matched.unwrap()
+        if request.refusal is not None:
+            return forward.Forwarded(request.refusal)
+        route = request.route
+        assert route is not None
         timeout_s = route.settings.timeout_ms / 1000
-        asked = request.headers.get(headers.TIMEOUT_MS, "")
-        if asked.isascii() and asked.isdigit():
-            timeout_s = min(timeout_s, int(asked) / 1000)
+        asked = headers.timeout_s(request.headers)
+        if asked is not None:
+            timeout_s = min(timeout_s, asked)
         job = forward.Job(
-            request=wire.Request(
-                request.method,
-                request.uri,
-                headers.end_to_end(request.headers),
-                request.body,
-            ),
+            request=_to_wire(request, request_id),
             route=route,
             idempotent=route.is_idempotent(request.method),
             deadline=self._clock.monotonic() + timeout_s,
-            organisation=request.headers.get(headers.ORGANISATION, ""),
+            organisation=request.headers.get(headers.ORGANISATION, "")[
+                : headers.MAX_ORGANISATION_CHARS
+            ],
             key=request.headers.get(headers.IDEMPOTENCY_KEY, ""),
         )
-        return await self._forwarder.forward(job)
+        try:
+            return await self._forwarder.forward(job)
+        except Exception:
+            logger.exception("request failed", extra={"request_id": request_id})
+            return forward.Forwarded(codes.Code.INTERNAL_ERROR_AFTER_RUN)
+
+    def _log(
+        self,
+        request: server.Request,
+        request_id: str,
+        outcome: forward.Forwarded,
+    ) -> None:
+        answered = codes.outcome(outcome.code) is codes.Outcome.ANSWERED
+        level = logging.DEBUG if answered else logging.INFO
+        if not logger.isEnabledFor(level):
+            return
+        route = request.route
+        logger.log(
+            level,
+            "request",
+            extra={
+                "request_id": request_id,
+                "team": route.team if route else "",
+                "service": route.settings.service if route else "",
+                "target": outcome.worker,
+                "code": int(outcome.code),
+            },
+        )
 
     def _respond(
         self,
-        request: httputil.HTTPServerRequest,
+        request: server.Request,
         request_id: str,
         outcome: forward.Forwarded,
     ) -> None:
         reply = outcome.reply
-        response = httputil.HTTPHeaders()
         if reply is not None:
             status = reply.status
             body = reply.body
-            for header in reply.headers:
-                response.add(header.name, header.value)
-            response = _response_headers(response)
+            response = _reply_headers(reply)
         else:
             status = codes.http_status(outcome.code)
-            body = f"{int(outcome.code)} {outcome.code.name.lower()}\n".encode()
-            response["Content-Type"] = "text/plain"
-        response[headers.RESULT_CODE] = str(int(outcome.code))
-        response[headers.OUTCOME] = codes.outcome(outcome.code).value
+            body = responses.body(outcome.code)
+            response = responses.refusal_headers(outcome.code)
+        responses.add_outcome(response, outcome.code)
         response[headers.REQUEST_ID] = request_id
         if outcome.worker:
             response[headers.TARGET] = outcome.worker
-        if self.leaving:
-            response["Connection"] = "close"
-        self._write(request, status, response, body)
-
-    def _write(
-        self,
-        request: httputil.HTTPServerRequest,
-        status: int,
-        response: httputil.HTTPHeaders,
-        body: bytes,
-    ) -> None:
-        if status not in (204, 304) and request.method != "HEAD":
-            response["Content-Length"] = str(len(body))
-        else:
-            body = b""
-        reason = httputil.responses.get(status, "Unknown")
-        line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
-        request.connection.write_headers(line, response, body)
-        request.connection.finish()
-
-
-def _response_headers(
-    received: httputil.HTTPHeaders,
-) -> httputil.HTTPHeaders:
+        if self._server.draining:
+            request.connection.close_after()
+        _write(request, status, response, body)
+
+
+def _to_wire(request: server.Request, request_id: str) -> wire.Request:
+    target = request.target
+    assert target is not None
+    fields = request.headers
+    if target.authority:
+        fields["Host"] = target.authority
+    fields[headers.REQUEST_ID] = request_id
+    passed = headers.end_to_end(fields)
+    if request.public:
+        passed = headers.from_outside(passed, request.remote_ip, request.secure)
+    return wire.Request(request.method, target.wire, passed, request.body)
+
+
+def _reply_headers(reply: wire.Reply) -> httputil.HTTPHeaders:
+    received = httputil.HTTPHeaders()
+    for header in reply.headers:
+        received.add(header.name, header.value)
     passed = httputil.HTTPHeaders()
     for header in headers.end_to_end(received):
         passed.add(header.name, header.value)
+    length = received.get("Content-Length", "")
+    if not reply.body and length.isascii() and length.isdigit():
+        passed["Content-Length"] = length
     return passed
+
+
+def _write(
+    request: server.Request,
+    status: int,
+    response: httputil.HTTPHeaders,
+    body: bytes,
+) -> None:
+    connection = request.connection
+    if connection.stream is None or connection.stream.closed():
+        return
+    if status in (204, 304) or request.method == "HEAD":
+        # The length that a target names for a HEAD or 304 is kept as it is.
+        body = b""
+    else:
+        response["Content-Length"] = str(len(body))
+    line = httputil.ResponseStartLine(
+        "HTTP/1.1", status, responses.reason(status)
+    )
+    connection.write_headers(line, response, body)
+    connection.finish()
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/ingress/responses.py
@@ -0,0 +1,48 @@
+"""Responses that the node makes itself."""
+
+from __future__ import annotations
+
+from tornado import httputil
+
+from sardinedoor_node.ingress import headers
+from sardinedoor_schema import codes
+
+RETRY_AFTER_S = 1
+
+
+def reason(status: int) -> str:
+    """Returns the reason phrase of a status."""
+    return httputil.responses.get(status, "Unknown")
+
+
+def body(code: codes.Code) -> bytes:
+    """Returns the body of a refusal."""
+    return f"{int(code)} {code.name.lower()}\n".encode()
+
+
+def refusal_headers(code: codes.Code) -> httputil.HTTPHeaders:
+    """Returns the headers of a refusal, without length and outcome."""
+    fields = httputil.HTTPHeaders()
+    fields["Content-Type"] = "text/plain"
+    if codes.http_status(code) == 503:
+        fields["Retry-After"] = str(RETRY_AFTER_S)
+    return fields
+
+
+def add_outcome(fields: httputil.HTTPHeaders, code: codes.Code) -> None:
+    """Adds the result code and its outcome."""
+    fields[headers.RESULT_CODE] = str(int(code))
+    fields[headers.OUTCOME] = codes.outcome(code).value
+
+
+def plain(code: codes.Code) -> bytes:
+    """Returns a whole refusal that ends its connection."""
+    status = codes.http_status(code)
+    content = body(code)
+    fields = refusal_headers(code)
+    add_outcome(fields, code)
+    fields["Content-Length"] = str(len(content))
+    fields["Connection"] = "close"
+    lines = [f"HTTP/1.1 {status} {reason(status)}"]
+    lines += [f"{name}: {value}" for name, value in fields.get_all()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + content
--- a/packages/node/src/sardinedoor_node/ingress/routes.py
+++ b/packages/node/src/sardinedoor_node/ingress/routes.py
@@ -7,6 +7,7 @@
 
 import result
 
+from sardinedoor_node.ingress import paths
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -15,9 +16,9 @@
     from sardinedoor_node.settings import tree
     from sardinedoor_schema.generated import settings
 
-_IDEMPOTENT_METHODS = frozenset(
-    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
-)
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+# A tunnel can't be served, and an echo would show a caller internal headers.
+_REFUSED_METHODS = frozenset({"CONNECT", "TRACE", "TRACK"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,17 +38,27 @@
 
 
 class RouteTable:
-    """Routes by path prefix; the longest prefix wins."""
+    """Routes by path prefix; the longest prefix wins.
+
+    A public caller never gets past an internal route to a shorter public
+    one: the internal prefix is compared with the path as the most lenient
+    target would read it.
+    """
 
     def __init__(self, subtrees: Iterable[tree.Subtree]):
         """Indexes the routes of all subtrees."""
         self._routes: dict[tuple[str, bool], Route] = {}
+        self._internal: set[str] = set()
         for subtree in subtrees:
             for name, route in subtree.routes.items():
-                prefix = route.path.rstrip("/")
-                public = route.visibility == "public"
-                entry = Route(name, subtree.team, subtree.revision, route)
-                self._routes.setdefault((prefix, public), entry)
+                self._add(Route(name, subtree.team, subtree.revision, route))
+
+    def _add(self, route: Route) -> None:
+        prefix = route.settings.path.rstrip("/")
+        public = route.settings.visibility == "public"
+        self._routes.setdefault((prefix, public), route)
+        if not public:
+            self._internal.add(paths.fold(prefix))
 
     def match(
         self, method: str, path: str, public: bool
@@ -56,7 +67,7 @@
 
         Args:
             method: The request's method.
-            path: The request's path without the query.
+            path: The request's normalised path without the query.
             public: Whether the request came from outside.
 
         Returns:
@@ -66,7 +77,7 @@
         if route is None:
             return result.Err(codes.Code.NO_ROUTE)
         methods = route.settings.methods
-        if methods and method not in methods:
+        if method in _REFUSED_METHODS or (methods and method not in methods):
             return result.Err(codes.Code.METHOD_NOT_ALLOWED)
         return result.Ok(route)
 
@@ -77,5 +88,17 @@
             if route is None and not public:
                 route = self._routes.get((prefix, False))
             if route is not None or not prefix:
-                return route
+                break
             prefix = prefix.rpartition("/")[0]
+        if public and route is not None and self._hidden(path, prefix):
+            return None
+        return route
+
+    def _hidden(self, path: str, matched: str) -> bool:
+        folded = paths.fold(path.rstrip("/"))
+        depth = matched.count("/")
+        while folded.count("/") > depth:
+            if folded in self._internal:
+                return True
+            folded = folded.rpartition("/")[0]
+        return False
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -23,6 +23,7 @@
 
 HEARTBEAT_INTERVAL_MS = 300
 HEARTBEAT_TIMEOUT_MS = 900
+CLOSE_LINGER_MS = 1000
 _QUEUE_FRAMES = 1000
 
 
@@ -160,11 +161,11 @@
             self._dispatcher.receive(channel, parts[-1])
 
     async def close(self) -> None:
-        """Closes all links."""
+        """Closes all links once what was sent has left, or a time is up."""
         await self._tasks.cancel()
         for peer in self._peers.values():
-            peer.channel.socket.close()
+            peer.channel.socket.close(linger=CLOSE_LINGER_MS)
         self._peers.clear()
         if self._router is not None:
-            self._router.close()
+            self._router.close(linger=CLOSE_LINGER_MS)
         self._context.term()
--- a/packages/node/src/sardinedoor_node/membership/prober.py
+++ b/packages/node/src/sardinedoor_node/membership/prober.py
@@ -42,6 +42,12 @@
                 self._probe(entry)
             await self._clock.sleep(INTERVAL_S)
 
+    def announce(self) -> None:
+        """Tells every live peer the node's own record at once."""
+        for entry in self._members.peers():
+            if entry.alive:
+                self._probe(entry)
+
     def _probe(self, entry: table.Entry) -> None:
         hello = wire.Hello(secrets.token_bytes(_ID_BYTES), self._members.own)
         self._waiting[hello.id] = entry.name
--- a/packages/node/src/sardinedoor_node/metrics.py
+++ b/packages/node/src/sardinedoor_node/metrics.py
@@ -25,6 +25,11 @@
         self._events = self._counter(
             "sardinedoor_events_total", "Internal events by kind."
         )
+        self._certificate_expiry = aioprometheus.Gauge(
+            "sardinedoor_certificate_expiry_seconds",
+            "End of the public certificate's validity, Unix time.",
+            registry=self.registry,
+        )
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
@@ -49,3 +54,7 @@
     def event(self, kind: str) -> None:
         """Counts an internal event."""
         self._events.inc({"kind": kind})
+
+    def certificate_expiry(self, moment_s: float) -> None:
+        """Notes when the public certificate expires, in s of Unix time."""
+        self._certificate_expiry.set({}, moment_s)
