Run a small deployment in the demo and judge it by the run logs

Cause: nothing showed the fleet under load with the links of a deployment. Added: a relay between nodes (delay by failure domain, one-way cuts, silent connections), an open-loop generator, verdicts from the targets' run logs, and the two deployments as settings trees. The relay tells the source of a connection by the process that owns its local port, so that the daemon needs only an advertised link address.

Ruled out: a relay in front of the callers. A relay accepts what a stopped node refuses, so a refusal would look like a cut; the generator waits for the callers' delay itself, on the direct path too.

--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -20,6 +20,16 @@
     workers: list[str]
 
 
+@dataclasses.dataclass(slots=True)
+class TargetStatus:
+    """One target as this node sees it."""
+
+    worker: str
+    service: str
+    node: str
+    ejected: bool
+
+
 @dataclasses.dataclass(slots=True)
 class TeamStatus:
     """Settings of one team in force on this node."""
@@ -38,6 +48,7 @@
     ready: bool
     members: list[MemberStatus]
     teams: list[TeamStatus]
+    targets: list[TargetStatus]
 
 
 def collect(
@@ -57,7 +68,22 @@
         for entry in members.entries.values()
     ]
     teams = sorted(set(settings.subtrees) | set(settings.refused))
-    return Status(name, ready, member_rows, [_team(t, settings) for t in teams])
+    return Status(
+        name,
+        ready,
+        member_rows,
+        [_team(t, settings) for t in teams],
+        _targets(members),
+    )
+
+
+def _targets(members: table.MemberTable) -> list[TargetStatus]:
+    return [
+        TargetStatus(w.name, w.service, entry.name, w.ejected)
+        for entry in members.entries.values()
+        if entry.member is not None and entry.alive
+        for w in entry.member.workers
+    ]
 
 
 def _team(team: str, settings: store.SettingsStore) -> TeamStatus:
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -54,7 +54,7 @@
         self._own = wire.Member(
             name=file.node.name,
             incarnation=incarnation,
-            link=file.node.link,
+            link=file.node.link_advertised or file.node.link,
             failure_domain=file.node.failure_domain,
             region=file.node.region,
             workers=[
--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,11 +15,14 @@
 from tornado import httpclient
 
 from sardinedoor_schema.generated import platform
+from sardinedoor_standins import relay
+from sardinedoor_standins import sockets
+from sardinedoor_standins import target
 
 START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
-_LOOPBACK = "127.0.0.1"
+_RELAY = "relay"
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,27 +45,22 @@
     public: str = ""
     internal: str = ""
     link: str = ""
+    advertised: str = ""
     admin: str = ""
 
 
 @dataclasses.dataclass(slots=True)
 class Plan:
-    """A fleet: its nodes, and the settings by team."""
+    """A fleet: its nodes, and the settings by team.
+
+    With `relayed`, links between nodes pass a relay, which adds the delay
+    between failure domains, in ms one way, and takes faults.
+    """
 
     nodes: list[NodePlan]
     settings: dict[str, str]
-
-
-def free_addresses(count: int) -> list[str]:
-    """Finds loopback addresses that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for s in sockets:
-            s.bind((_LOOPBACK, 0))
-        return [f"{_LOOPBACK}:{s.getsockname()[1]}" for s in sockets]
-    finally:
-        for s in sockets:
-            s.close()
+    domain_delay_ms: float = 0.0
+    relayed: bool = False
 
 
 class Fleet:
@@ -82,15 +79,21 @@
         self._http = httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=200
         )
-        self.platform_address = free_addresses(1)[0]
+        self.platform_address, self._control = sockets.free_addresses(2)
         self._assign()
 
     def _assign(self) -> None:
         for node in self.plan.nodes:
-            node.public, node.internal, node.link, node.admin = free_addresses(
-                4
-            )
-            addresses = free_addresses(len(node.workers))
+            (
+                node.public,
+                node.internal,
+                node.link,
+                node.admin,
+                node.advertised,
+            ) = sockets.free_addresses(5)
+            if not self.plan.relayed:
+                node.advertised = node.link
+            addresses = sockets.free_addresses(len(node.workers))
             for worker, address in zip(node.workers, addresses, strict=True):
                 worker.address = address
 
@@ -104,6 +107,8 @@
 
     async def start(self) -> None:
         """Starts all processes and waits until each node is ready."""
+        if self.plan.relayed:
+            await self._start_relay()
         self.spawn_platform()
         for node in self.plan.nodes:
             self.spawn_targets(node)
@@ -116,6 +121,43 @@
         for node in self.plan.nodes:
             await self.wait_ready(node)
 
+    async def _start_relay(self) -> None:
+        routes = [
+            relay.Route(n.name, n.failure_domain, n.advertised, n.link)
+            for n in self.plan.nodes
+        ]
+        path = self._folder / "relay.json"
+        layout = relay.Layout(str(self._folder), routes)
+        path.write_bytes(msgspec.json.encode(layout))
+        self._spawn(
+            _RELAY,
+            "sardinedoor_standins.relay",
+            [f"--layout={path}", f"--control={self._control}"],
+        )
+        await self.wait_http(f"http://{self._control}/faults")
+        await self.cut()
+
+    async def cut(self, *pairs: tuple[str, str]) -> None:
+        """Cuts links one way; those cut before are healed.
+
+        Args:
+            *pairs: Source and destination, each a node, a failure domain or
+                `*` for all.
+        """
+        cuts = [relay.Cut(*pair) for pair in pairs]
+        faults = relay.Faults(self.plan.domain_delay_ms, cuts=cuts)
+        await self._http.fetch(
+            f"http://{self._control}/faults",
+            method="PUT",
+            body=msgspec.json.encode(faults),
+        )
+
+    async def silence(self) -> None:
+        """Makes all open links go silent for good; new ones work."""
+        await self._http.fetch(
+            f"http://{self._control}/silence", method="PUT", body=b""
+        )
+
     def spawn_platform(self) -> None:
         """Starts the stand-in of the platform."""
         self._spawn(
@@ -149,6 +191,7 @@
             f"public = {node.public}",
             f"internal = {node.internal}",
             f"link = {node.link}",
+            f"link_advertised = {node.advertised}",
             f"admin = {node.admin}",
             f"platform = {self.platform_address}",
         ]
@@ -168,6 +211,7 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
             )
+        sockets.write_pid(self._folder, name, self.pid(name))
 
     async def edit(self, team: str, text: str) -> None:
         """Edits a team's settings at the platform, as an operator does."""
@@ -186,7 +230,7 @@
         instances = [
             platform.Instance(
                 node.name,
-                node.link,
+                node.advertised,
                 node.region,
                 node.failure_domain,
                 "leaving" if node.name in leaving else "live",
@@ -213,20 +257,43 @@
     async def wait_ready(self, node: NodePlan) -> None:
         """Waits until a node serves and sees all other nodes alive."""
         end = time.monotonic() + START_TIMEOUT_S
-        count = len(self.plan.nodes)
+        names = {n.name for n in self.plan.nodes if n.name in self._processes}
         while time.monotonic() < end:
             status = await self.status(node)
-            alive = sum(m["alive"] for m in status["members"])
-            if status["ready"] and alive == count:
+            alive = {m["name"] for m in status["members"] if m["alive"]}
+            if status["ready"] and names <= alive:
                 return
             await asyncio.sleep(_POLL_S)
-        raise TimeoutError(f"{node.name} is not ready")
+        missing = ", ".join(sorted(names - alive))
+        raise TimeoutError(
+            f"{node.name} is not ready; it doesn't see: {missing or 'settings'}"
+        )
 
     async def status(self, node: NodePlan) -> dict:
         """Reads a node's status page."""
         body = await self.wait_http(f"http://{node.admin}/status")
         return msgspec.json.decode(body)
 
+    async def behave(
+        self, worker: WorkerPlan, behaviour: target.Behaviour
+    ) -> None:
+        """Changes how a target treats real work."""
+        await self._http.fetch(
+            f"http://{worker.address}/-/control",
+            method="PUT",
+            body=msgspec.json.encode(behaviour),
+        )
+
+    async def runs(self, worker: WorkerPlan) -> list[target.Run]:
+        """Reads a target's own run log."""
+        body = await self.wait_http(f"http://{worker.address}/-/control")
+        return msgspec.json.decode(body, type=list[target.Run])
+
+    async def ejected(self, node: NodePlan) -> set[str]:
+        """Lists the targets that are ejected as a node sees it."""
+        status = await self.status(node)
+        return {t["worker"] for t in status["targets"] if t["ejected"]}
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process that this fleet started."""
         os.kill(self.pid(name), number)
