--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -24,6 +24,8 @@
 _POLL_S = 0.05
 _RELAY = "relay"
 
+free_addresses = sockets.free_addresses
+
 
 @dataclasses.dataclass(slots=True)
 class WorkerPlan:
