--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -25,6 +25,16 @@
     failure_domain: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class TargetStatus:
+    """One target as this node sees it."""
+
+    worker: str
+    service: str
+    node: str
+    ejected: bool
+
+
 @dataclasses.dataclass(slots=True)
 class TeamStatus:
     """Settings of one team in force on this node.
@@ -71,6 +81,7 @@
     members: list[MemberStatus]
     teams: list[TeamStatus]
     platform: PlatformStatus
+    targets: list[TargetStatus]
 
 
 def collect(
@@ -89,9 +100,19 @@
         [_member(entry) for entry in members.entries.values()],
         [_team(t, settings, reads) for t in teams],
         _platform(reads),
+        _targets(members),
     )
 
 
+def _targets(members: table.MemberTable) -> list[TargetStatus]:
+    return [
+        TargetStatus(w.name, w.service, entry.name, w.ejected)
+        for entry in members.entries.values()
+        if entry.member is not None and entry.alive
+        for w in entry.member.workers
+    ]
+
+
 def _member(entry: table.Entry) -> MemberStatus:
     workers = entry.member.workers if entry.member else []
     return MemberStatus(
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -59,7 +59,7 @@
             name=file.node.name,
             incarnation=incarnation,
             epoch=int(self._clock.now().timestamp() * 1000),
-            link=file.node.link,
+            link=file.node.link_advertised or file.node.link,
             failure_domain=file.node.failure_domain,
             region=file.node.region,
             workers=[
