Give no address twice and match both ports of a relayed connection

Cause: two runs of the tests failed. A fleet of three nodes never became ready, since ports were drawn at random for one node after the other and two of about 20 fell together (about 1 run in 50); and a cut by failure domain did not apply, since the relay looked up the source of a connection by its local port alone and found a closed connection that waits out its time. Ruled out: load of the machine; both were seen again at a low one. Now: a port is given once per process, both ports and a live descriptor must match, and a connection without a known source is reset instead of passed. A test draws 500 addresses; it fails without the set of ports.

--- a/packages/standins/src/sardinedoor_standins/relay.py
+++ b/packages/standins/src/sardinedoor_standins/relay.py
@@ -110,7 +110,7 @@
 
     async def _open(self, connection: pipes.Connection, route: Route) -> None:
         try:
-            connection.source = await self._source(connection)
+            connection.source = await self._source(connection, route)
             self._apply(connection)
             await connection.passable.wait()
             host, _, port = route.upstream.rpartition(":")
@@ -120,16 +120,19 @@
         except OSError:
             connection.abort()
 
-    async def _source(self, connection: pipes.Connection) -> str:
+    async def _source(self, connection: pipes.Connection, route: Route) -> str:
         await connection.accepted.wait()
         port = connection.caller_port
+        remote = int(route.listen.rpartition(":")[2])
         folder = pathlib.Path(self._layout.folder)
         for _ in range(_SOURCE_TRIES):
-            name = sockets.owner_of_port(port, sockets.read_pids(folder))
+            name = sockets.owner_of_connection(
+                port, remote, sockets.read_pids(folder)
+            )
             if name:
                 return name
             await asyncio.sleep(_SOURCE_WAIT_S)
-        return ""
+        raise ConnectionError("no node has this connection")
 
     def _apply(self, connection: pipes.Connection) -> None:
         source, destination = connection.source, connection.destination
--- a/packages/standins/src/sardinedoor_standins/sockets.py
+++ b/packages/standins/src/sardinedoor_standins/sockets.py
@@ -11,29 +11,37 @@
 _PORTS = (10_000, 32_000)
 _TCP_TABLE = pathlib.Path("/proc/net/tcp")
 _LOCAL_FIELD = 1
+_REMOTE_FIELD = 2
 _INODE_FIELD = 9
+_NO_INODE = "0"
+
+
+_handed_out: set[int] = set()
 
 
 def free_addresses(count: int) -> list[str]:
     """Finds loopback addresses that are free now.
 
     The ports lie below those that the kernel gives to outgoing connections,
-    so that none is taken before its process binds it.
+    and none is given twice by one process, so that each is still free when
+    the process it is meant for binds it.
     """
-    found: list[socket.socket] = []
-    try:
-        while len(found) < count:
-            candidate = socket.socket()
-            found.append(candidate)
-            try:
-                candidate.bind((_LOOPBACK, random.randrange(*_PORTS)))
-            except OSError:
-                found.remove(candidate)
-                candidate.close()
-        return [f"{_LOOPBACK}:{s.getsockname()[1]}" for s in found]
-    finally:
-        for s in found:
-            s.close()
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = random.randrange(*_PORTS)
+        if port not in _handed_out and _is_free(port):
+            _handed_out.add(port)
+            addresses.append(f"{_LOOPBACK}:{port}")
+    return addresses
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((_LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def write_pid(folder: pathlib.Path, name: str, pid: int) -> None:
@@ -51,17 +59,18 @@
     return pids
 
 
-def owner_of_port(port: int, pids: dict[int, str]) -> str:
-    """Finds which process has a connection from a local port.
+def owner_of_connection(port: int, remote: int, pids: dict[int, str]) -> str:
+    """Finds which process has a connection.
 
     Args:
         port: The local port of the connection.
+        remote: The port that it leads to.
         pids: Names by process id; only these are searched.
 
     Returns:
         The name, or an empty string.
     """
-    inode = _inode(port)
+    inode = _inode(port, remote)
     if not inode:
         return ""
     link = f"socket:[{inode}]"
@@ -71,11 +80,16 @@
     return ""
 
 
-def _inode(port: int) -> str:
-    suffix = f":{port:04X}"
+def _inode(port: int, remote: int) -> str:
+    ends = (f":{port:04X}", f":{remote:04X}")
     for line in _TCP_TABLE.read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[_LOCAL_FIELD].endswith(suffix):
+        if not fields[_LOCAL_FIELD].endswith(ends[0]):
+            continue
+        if not fields[_REMOTE_FIELD].endswith(ends[1]):
+            continue
+        # Closed connections that wait out their time belong to nobody.
+        if fields[_INODE_FIELD] != _NO_INODE:
             return fields[_INODE_FIELD]
     return ""
 
--- a/tests/test_standins/test_standins_relay.py
+++ b/tests/test_standins/test_standins_relay.py
@@ -58,6 +58,12 @@
         return None
 
 
+class FreeAddressesTest(testtools.TestCase):
+    def test_no_address_is_given_twice(self):
+        found = [sockets.free_addresses(1)[0] for _ in range(500)]
+        self.assertEqual(len(found), len(set(found)))
+
+
 class RelayTest(testtools.TestCase):
     def _run(self, story) -> None:
         async def run() -> None:
