--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -6,6 +6,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,9 @@
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
 _LOOPBACK = "127.0.0.1"
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_PORTS = random.SystemRandom()
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,15 +59,23 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Finds loopback addresses that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for s in sockets:
-            s.bind((_LOOPBACK, 0))
-        return [f"{_LOOPBACK}:{s.getsockname()[1]}" for s in sockets]
-    finally:
-        for s in sockets:
-            s.close()
+    """Finds loopback addresses that are free now.
+
+    The ports lie below those that the system gives to outgoing connections,
+    so that none is taken between this call and its use.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = _PORTS.randrange(_FIRST_PORT, _LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((_LOOPBACK, port))
+            except OSError:
+                continue
+        address = f"{_LOOPBACK}:{port}"
+        if address not in found:
+            found.append(address)
+    return found
 
 
 class Fleet:
