--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -9,16 +9,21 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node import boot
+from sardinedoor_node import drain
 from sardinedoor_node import metrics
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import forward
+from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import listener
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
+from sardinedoor_node.owner import homes
+from sardinedoor_node.owner import notices
+from sardinedoor_node.owner import suspects
 from sardinedoor_node.owner import workers
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.platform import service as platform_service
@@ -33,8 +38,6 @@
 logger = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 16
-_POLL_S = 0.02
-_LEAVING_SPREAD_S = 0.5
 
 
 class Daemon:
@@ -56,7 +59,7 @@
             name=file.node.name,
             incarnation=incarnation,
             epoch=int(self._clock.now().timestamp() * 1000),
-            link=file.node.link,
+            link=file.node.link_advertised or file.node.link,
             failure_domain=file.node.failure_domain,
             region=file.node.region,
             workers=[
@@ -99,18 +102,45 @@
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
-        self._owner = exchange.Owner(self._workers, self._metrics, self._clock)
-        self._exchanges = exchanges.ExchangeTable(incarnation, self._metrics)
+        key_homes = homes.Homes(self._store, self._clock)
+        notifier = notices.Notifier(self._members, self._transport, self._clock)
+        self._suspects = suspects.Suspects(
+            notifier.notify, self._metrics, self._clock
+        )
+        self._owner = exchange.Owner(
+            incarnation,
+            self._workers,
+            key_homes,
+            self._suspects,
+            self._metrics,
+            self._clock,
+        )
+        self._exchanges = exchanges.ExchangeTable(
+            incarnation, self._metrics, self._clock
+        )
         self._forwarder = forward.Forwarder(
             self._members,
             self._transport,
             twochoices.TwoChoicesPicker(random.Random()),
             self._exchanges,
+            key_homes,
+            holding.AlwaysHold(),
             self._metrics,
             self._clock,
         )
         self._ingress = listener.Ingress(
-            self._store, self._forwarder, self._metrics, self._clock
+            self._store,
+            self._forwarder,
+            self._metrics,
+            self._clock,
+            file.node.connections,
+        )
+        self._drainer = drain.Drain(
+            self._members,
+            self._owner,
+            self._ingress.server,
+            self._membership.gossip.flush,
+            self._clock,
         )
         self._register()
 
@@ -119,6 +149,7 @@
         register(wire.Offer, self._owner.on_offer)
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
+        register(wire.CrashNotice, self._suspects.on_notice)
         register(wire.Held, self._exchanges.on_message)
         register(wire.Reply, self._exchanges.on_message)
         register(wire.Refusal, self._exchanges.on_message)
@@ -127,8 +158,8 @@
         """Runs until a planned stop has finished."""
         node = self._file.node
         self._transport.bind(node.link)
-        self._members.on_change(self._on_member)
         self._membership.start()
+        self._tasks.spawn(self._drainer.watch(), "leaving-watch")
         self._listen_admin(node.admin)
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
@@ -143,10 +174,6 @@
         self._ingress.starting = False
         logger.info("serving")
 
-    def _on_member(self, entry: table.Entry) -> None:
-        if entry.name == self._own.name and entry.leaving:
-            self._owner.leaving = True
-
     def stop(self) -> None:
         """Begins the planned stop; more calls change nothing."""
         self._stopping.set()
@@ -168,20 +195,10 @@
         )
 
     async def _drain(self) -> None:
-        logger.info("draining")
-        self._owner.leaving = True
-        self._members.mark_leaving(self._own.name, "planned stop")
-        self._membership.gossip.flush()
-        self._ingress.stop()
-        end = self._clock.monotonic() + self._file.node.drain_ms / 1000
-        # Lets the news that the node is leaving cross the fleet.
-        await self._clock.sleep(_LEAVING_SPREAD_S)
-        while self._clock.monotonic() < end:
-            if not self._owner.busy and not self._ingress.busy:
-                break
-            await self._clock.sleep(_POLL_S)
+        node = self._file.node
+        await self._drainer.run(node.drain_ms / 1000, node.drain_idle_ms / 1000)
         await self._tasks.cancel()
-        await self._ingress.close()
+        await self._ingress.server.close()
         await self._transport.close()
         self._platform.close()
         logger.info("stopped")
--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -60,7 +60,11 @@
                 self._check()
             await self._readable.wait()
 
-    def close(self) -> None:
-        """Closes the socket."""
+    def close(self, linger_ms: int = 0) -> None:
+        """Closes the socket.
+
+        Args:
+            linger_ms: Time for what was sent to leave, in ms.
+        """
         self._loop.remove_reader(self._descriptor)
-        self._socket.close()
+        self._socket.close(linger=linger_ms)
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -29,6 +29,7 @@
     13: wire.Cancel,
     14: wire.Reply,
     15: wire.Refusal,
+    16: wire.CrashNotice,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
