Prove resends by key, crash suspects and the target client by table

The grid could not see a refusal that a later incarnation sends to a doubled offer, nor a former home with a stale ingress: directed tests show both. The target client now closes a kept connection that is silent for 1 s and sends the idempotent request again on a fresh one; its replies tell whether a kept connection may be to blame instead of the target.

A connection cut in the body was reported as lost, not as truncated; both are unknown.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -20,6 +20,13 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _SOURCE = _ROOT / "packages/node/src"
 _PACKAGE = "sardinedoor_node"
+_GRID = _ROOT / "bench/faultgrid.py"
+_TESTS = [
+    _ROOT / "tests/test_owner/test_owner_exchange.py",
+    _ROOT / "tests/test_owner/test_owner_keys.py",
+    _ROOT / "tests/test_owner/test_owner_suspects.py",
+    _ROOT / "tests/test_owner/test_owner_target.py",
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,8 +127,8 @@
     Mutant(
         "clocks may differ",
         "owner/ledger.py",
-        "CLOCK_SKEW_MS = 2_000",
-        "CLOCK_SKEW_MS = -500",
+        "max(self.covered_ms, homed_ms) + CLOCK_SKEW_MS",
+        "max(self.covered_ms, homed_ms)",
     ),
     Mutant(
         "a key that moved is not vouched for",
@@ -138,15 +145,23 @@
 ]
 
 
-def run_mutant(mutant: Mutant, seeds: int) -> str:
-    """Runs the grid on a mutant.
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a mutant broke."""
+
+    seeds: list[int]
+    tests: list[str]
+
+
+def run_mutant(mutant: Mutant, seeds: int) -> Result:
+    """Runs the grid and the tests of exchanges on a mutant.
 
     Args:
         mutant: What to switch off.
         seeds: Number of schedules.
 
     Returns:
-        What the grid printed.
+        The schedules and tests that broke.
     """
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder) / _PACKAGE
@@ -156,35 +171,42 @@
         if text.count(mutant.old) != 1:
             raise ValueError(f"{mutant.name}: text is not there once")
         path.write_text(text.replace(mutant.old, mutant.new))
-        done = subprocess.run(
-            [
-                sys.executable,
-                str(_ROOT / "bench/faultgrid.py"),
-                f"--seeds={seeds}",
-            ],
-            env={**os.environ, "PYTHONPATH": folder},
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-    return done.stdout + done.stderr
+        grid = _run(folder, [str(_GRID), f"--seeds={seeds}"])
+        tests = _run(folder, ["-m", "pytest", *map(str, _TESTS)])
+    return Result(
+        [int(line.split()[-1]) for line in _lines(grid, "broken by seed")],
+        [line.split("::")[-1] for line in _lines(tests, "FAILED")],
+    )
+
+
+def _run(folder: str, arguments: list[str]) -> str:
+    done = subprocess.run(
+        [sys.executable, *arguments],
+        env={**os.environ, "PYTHONPATH": folder},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return done.stdout
+
+
+def _lines(output: str, prefix: str) -> list[str]:
+    return [line for line in output.splitlines() if line.startswith(prefix)]
 
 
 def main(
     seeds: Annotated[int, typer.Option(help="Schedules per mutant.")] = 600,
 ) -> None:
-    """Prints how many schedules each mutant breaks, and which is first."""
+    """Prints which schedules and tests each mutant breaks."""
     standing = 0
     for mutant in MUTANTS:
-        output = run_mutant(mutant, seeds)
-        broken = [
-            line.rpartition(" ")[2]
-            for line in output.splitlines()
-            if line.startswith("broken by seed")
-        ]
-        standing += not broken
-        first = min(map(int, broken), default=None)
-        print(f"{mutant.name}: {len(broken)} broken, first seed {first}")
+        broken = run_mutant(mutant, seeds)
+        standing += not broken.seeds and not broken.tests
+        print(
+            f"{mutant.name}: {len(broken.seeds)} schedules, first"
+            f" {min(broken.seeds, default=None)}; tests {broken.tests}",
+            flush=True,
+        )
     raise typer.Exit(1 if standing else 0)
 
 
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -18,6 +18,8 @@
     from sardinedoor_schema.generated import wire
 
 CONNECT_TIMEOUT_S = 0.5
+SILENT_S = 1.0
+SLOW_S = 10.0
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
@@ -25,9 +27,19 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetReply:
-    """A whole answer, or the code that tells why there is none."""
+    """A whole answer, or the code that tells why there is none.
+
+    Attributes:
+        code: What became of the request.
+        suspects_connection: Whether a kept connection may be to blame for
+            the lack of an answer, so that it says nothing of the target.
+        status: HTTP status of the answer.
+        headers: Headers of the answer.
+        body: Body of the answer.
+    """
 
     code: codes.Code
+    suspects_connection: bool = False
     status: int = 0
     headers: httputil.HTTPHeaders = dataclasses.field(
         default_factory=httputil.HTTPHeaders
@@ -62,8 +74,10 @@
 class TargetClient(owner.Client):
     """Connections to one worker.
 
-    Idempotent requests reuse idle connections. Other requests take a fresh
-    one, so that a connection which died while idle can't leave them unknown.
+    A request that isn't idempotent takes a fresh connection and is sent once.
+    An idempotent one may use a kept connection; if that is silent for
+    `SILENT_S`, all kept ones are closed and the request is sent again on a
+    fresh one.
     """
 
     def __init__(self, address: str):
@@ -77,24 +91,54 @@
         self._port = int(port)
         self._address = address
         self._idle: list[iostream.IOStream] = []
+        self._slow_until = 0.0
 
     async def run(
         self, request: wire.Request, idempotent: bool, remaining_s: float
     ) -> TargetReply:
         """See base class."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + remaining_s
+        now = asyncio.get_running_loop().time()
+        deadline = now + remaining_s
         stream = self._take_idle() if idempotent else None
         if stream is None:
-            connect_s = min(CONNECT_TIMEOUT_S, remaining_s)
-            stream = await self._connect(connect_s)
+            return await self._run_fresh(request, deadline)
+        silent = deadline
+        if now >= self._slow_until:
+            silent = min(deadline, now + SILENT_S)
+        reply = await self._run_on(stream, request, silent)
+        if reply.code == codes.Code.ANSWERED:
+            return reply
+        reply.suspects_connection = True
+        if reply.code != codes.Code.TARGET_TIMEOUT or silent == deadline:
+            return reply
+        self.close()
+        again = await self._run_fresh(request, deadline)
+        if codes.outcome(again.code) is codes.Outcome.NOT_RUN:
+            return reply
+        return again
+
+    async def _run_fresh(
+        self, request: wire.Request, deadline: float
+    ) -> TargetReply:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        stream = await self._connect(min(CONNECT_TIMEOUT_S, deadline - begun))
         if stream is None:
             return TargetReply(codes.Code.CONNECT_FAILED)
         if loop.time() >= deadline:
             stream.close()
             return TargetReply(codes.Code.DEADLINE_EXPIRED)
+        reply = await self._run_on(stream, request, deadline)
+        if loop.time() - begun > SILENT_S:
+            # Silence is the target's manner now, not a connection's.
+            self._slow_until = loop.time() + SLOW_S
+        return reply
+
+    async def _run_on(
+        self, stream: iostream.IOStream, request: wire.Request, end: float
+    ) -> TargetReply:
         try:
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout_at(end):
                 return await self._exchange(stream, request)
         except TimeoutError:
             stream.close()
@@ -147,8 +191,7 @@
             connection.finish()
             await connection.read_response(collector)
         except (OSError, iostream.StreamClosedError, httputil.HTTPInputError):
-            stream.close()
-            return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
+            collector.finished = False
         return self._result(stream, collector)
 
     def _headers(self, request: wire.Request) -> httputil.HTTPHeaders:
@@ -175,9 +218,9 @@
             self._idle.append(stream)
         return TargetReply(
             codes.Code.ANSWERED,
-            collector.status,
-            collector.headers,
-            b"".join(collector.chunks),
+            status=collector.status,
+            headers=collector.headers,
+            body=b"".join(collector.chunks),
         )
 
     async def is_listening(self) -> bool:
--- a/packages/standins/src/sardinedoor_standins/faketarget.py
+++ b/packages/standins/src/sardinedoor_standins/faketarget.py
@@ -105,7 +105,7 @@
         self._runs.append(Run(self.name, send_id, request.body, now))
         killer = self.faults.crash_on and self.faults.crash_on in request.body
         if killer or self._hits("crash"):
-            self._crash()
+            self.crash()
             respond(lost)
             return
         if self._hits("hang"):
@@ -125,13 +125,14 @@
         if self._hits("truncated"):
             return target.TargetReply(codes.Code.REPLY_TRUNCATED)
         return target.TargetReply(
-            codes.Code.ANSWERED, 200, body=answer(self.name, request)
+            codes.Code.ANSWERED, status=200, body=answer(self.name, request)
         )
 
     def _hits(self, fault: str) -> bool:
         return self._rng.random() < getattr(self.faults, fault)
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """Loses all that is in flight, and stays down for a while."""
         self._crashes += 1
         self._down_until = self._timeline.now + _DOWN_S
 
--- a/packages/standins/src/sardinedoor_standins/memfleet.py
+++ b/packages/standins/src/sardinedoor_standins/memfleet.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
 SERVICE = "ledger"
 TEAM = "office"
@@ -167,6 +168,7 @@
         frame_faults: memlink.FrameFaults | None = None,
         target_faults: faketarget.TargetFaults | None = None,
         policy: holding.HoldPolicy | None = None,
+        ingress_only: Collection[str] = (),
     ):
         """Starts all nodes; each knows all others.
 
@@ -178,8 +180,10 @@
             frame_faults: Faults of frames.
             target_faults: Faults of targets.
             policy: When to hold first.
+            ingress_only: Names of nodes without targets.
         """
         self.timeline = timeline
+        self._ingress_only = ingress_only
         self.rng = random.Random(seed)
         self.policy = policy or holding.AlwaysHold()
         self.runs: list[faketarget.Run] = []
@@ -201,6 +205,8 @@
 
     def targets_of(self, name: str) -> list[str]:
         """Lists the names of a node's targets."""
+        if name in self._ingress_only:
+            return []
         return [f"{name}-w{number}" for number in range(self._workers_each)]
 
     def start(self, name: str) -> None:
--- a/packages/standins/src/sardinedoor_standins/memlink.py
+++ b/packages/standins/src/sardinedoor_standins/memlink.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -11,7 +12,6 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     import random
 
     from sardinedoor_node import metrics
@@ -33,6 +33,11 @@
     longest_delay_s: float = 0.0
 
 
+# Returns the delay in s of each copy of a message that arrives; None leaves
+# the message to the faults drawn from the seed.
+Script = Callable[["base.Message"], "list[float] | None"]
+
+
 class Network:
     """Delivers frames between the transports of one timeline."""
 
@@ -56,6 +61,7 @@
         self._cuts: dict[tuple[str, str], float] = {}
         self.sent = 0
         self.on_sent: list[Callable[[int, str, str], None]] = []
+        self.script: Script | None = None
 
     def attach(self, transport: MemoryTransport) -> None:
         """Puts a transport at its name, in place of the one before."""
@@ -83,6 +89,11 @@
         self.sent += 1
         for listener in self.on_sent:
             listener(self.sent, source, destination)
+        delays_s = self.script and self.script(frames.decode(frame))
+        if delays_s is not None:
+            for delay_s in delays_s:
+                self._arrive(source, destination, frame, delay_s)
+            return True
         if self._rng.random() < self._faults.refused:
             return False
         if self._is_cut(source, destination) or self._hits("lost"):
@@ -112,7 +123,11 @@
         delay_s = DELAY_S
         if self._hits("delayed"):
             delay_s += self._rng.uniform(0, self._faults.longest_delay_s)
+        self._arrive(source, destination, frame, delay_s)
 
+    def _arrive(
+        self, source: str, destination: str, frame: bytes, delay_s: float
+    ) -> None:
         def arrive() -> None:
             transport = self._transports.get(destination)
             if transport is not None:
