--- /dev/null
+++ b/bench/holdprice.py
@@ -0,0 +1,109 @@
+"""Compares the hold policies: unknown outcomes under faults, and latency.
+
+Virtual time: three nodes with two targets each, 1.5 ms one way between
+nodes, 1 ms to connect to a target, 5 ms of service. None of the requests is
+idempotent or has a key.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import random
+from typing import Annotated
+
+import typer
+
+from sardinedoor_node.ingress import holding
+from sardinedoor_standins import faultgrid
+from sardinedoor_standins import memfleet
+from sardinedoor_standins import virtualtime
+
+_FROM_S = 1.0
+_UNTIL_S = 21.0
+_SENDS_PER_S = 50
+_FAULT_S = 0.7
+
+
+def _calm(fleet: memfleet.MemoryFleet, rng: random.Random) -> None:
+    del fleet, rng
+
+
+def _cut(fleet: memfleet.MemoryFleet, rng: random.Random) -> None:
+    source, destination = rng.sample(sorted(fleet.nodes), 2)
+    fleet.network.cut(source, destination, _FAULT_S)
+
+
+def _freeze(fleet: memfleet.MemoryFleet, rng: random.Random) -> None:
+    node = fleet.nodes.get(rng.choice(["n0", "n1", "n2"]))
+    if node is not None:
+        node.loop.freeze(_FAULT_S)
+
+
+def _kill(fleet: memfleet.MemoryFleet, rng: random.Random) -> None:
+    fleet.kill(rng.choice(["n0", "n1", "n2"]), _FAULT_S)
+
+
+_FAULTS = [_calm, _cut, _freeze, _kill]
+
+
+def _run(
+    policy: holding.HoldPolicy,
+    fault: Callable[[memfleet.MemoryFleet, random.Random], None],
+    seed: int,
+) -> faultgrid.Verdict:
+    rng = random.Random(seed)
+    with virtualtime.Timeline().closing() as timeline:
+        fleet = memfleet.MemoryFleet(
+            timeline, seed, workers_each=2, policy=policy
+        )
+        for second in range(2, int(_UNTIL_S), 3):
+            timeline.call_at(second, lambda: fault(fleet, rng))
+        sends = []
+        for number in range(int((_UNTIL_S - _FROM_S) * _SENDS_PER_S)):
+            when = _FROM_S + number / _SENDS_PER_S
+            send = memfleet.Send(f"{number}", b"pay-%d" % number, False)
+            fleet.submit(when, rng.choice(["n0", "n1", "n2"]), send)
+            sends.append(send)
+        timeline.run_until(_UNTIL_S + 5.0)
+        return faultgrid.judge(sends, fleet.runs)
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    fault: str
+    policy: str
+    verdict: faultgrid.Verdict
+
+    def __str__(self) -> str:
+        ordered = sorted(self.verdict.latencies_s)
+        p50, p99 = (
+            1000 * ordered[int(len(ordered) * share)] for share in (0.5, 0.99)
+        )
+        v = self.verdict
+        return (
+            f"{self.fault:7} {self.policy:16} {v.sends:6} {v.answered:8}"
+            f" {v.not_run:7} {v.unknown:7} {v.unanswered:6} {v.doubled:7}"
+            f" {p50:7.2f} {p99:7.2f}"
+        )
+
+
+def main(
+    seeds: Annotated[int, typer.Option(help="Runs per row.")] = 10,
+) -> None:
+    """Prints a row per fault and policy."""
+    logging.disable()
+    print("fault   policy            sends answered not-run unknown", end=" ")
+    print("silent doubled  p50 ms  p99 ms")
+    for fault in _FAULTS:
+        for policy in faultgrid.POLICIES:
+            total = faultgrid.Verdict()
+            for seed in range(seeds):
+                total.add(_run(policy, fault, seed))
+            name = fault.__name__.strip("_")
+            print(_Row(name, type(policy).__name__, total))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -142,6 +142,48 @@
         "if self._homes.home(offer.service, name) != worker.name:",
         "if False:",
     ),
+    Mutant(
+        "a crash is told to the other owners",
+        "owner/notices.py",
+        "            channel.send(notice)\n",
+        "            del channel\n",
+    ),
+    Mutant(
+        "two crashes quarantine a request",
+        "owner/suspects.py",
+        "if len(suspect.crashes) >= CRASH_LIMIT:\n            return True",
+        "if len(suspect.crashes) >= CRASH_LIMIT:\n            return False",
+    ),
+    Mutant(
+        "a suspect runs at one target at a time",
+        "owner/suspects.py",
+        "return suspect.trial_ends > self._clock.monotonic()",
+        "return False",
+    ),
+    Mutant(
+        "an answer clears a suspect",
+        "owner/suspects.py",
+        "        if self._clear(fingerprint):\n            notice",
+        "        if False:\n            notice",
+    ),
+    Mutant(
+        "what is answered elsewhere is no suspect",
+        "owner/suspects.py",
+        "return self._clock.monotonic() - answered < ANSWERED_MS / 1000",
+        "return False",
+    ),
+    Mutant(
+        "a request that isn't idempotent takes a fresh connection",
+        "owner/target.py",
+        "stream = self._take_idle() if idempotent else None",
+        "stream = self._take_idle()",
+    ),
+    Mutant(
+        "a silent kept connection is replaced",
+        "owner/target.py",
+        "silent = min(deadline, now + SILENT_S)",
+        "silent = deadline",
+    ),
 ]
 
 
--- a/packages/standins/src/sardinedoor_standins/faketarget.py
+++ b/packages/standins/src/sardinedoor_standins/faketarget.py
@@ -32,6 +32,7 @@
     crash: float = 0.0
     hang: float = 0.0
     crash_on: bytes = b""
+    crash_after_s: float = 0.0
     service_s: float = 0.005
 
 
@@ -105,8 +106,9 @@
         self._runs.append(Run(self.name, send_id, request.body, now))
         killer = self.faults.crash_on and self.faults.crash_on in request.body
         if killer or self._hits("crash"):
-            self.crash()
-            respond(lost)
+            after = now + self.faults.crash_after_s
+            self._timeline.call_at(after, self.crash)
+            self._timeline.call_at(after, lambda: respond(lost))
             return
         if self._hits("hang"):
             return
--- a/tests/test_owner/test_owner_suspects.py
+++ b/tests/test_owner/test_owner_suspects.py
@@ -60,6 +60,17 @@
             codes_seen = {s.outcome.code for s in others}
             self.assertEqual({_C.ANSWERED}, codes_seen)
 
+    def test_nobody_else_runs_a_suspect_during_its_trial(self):
+        with virtualtime.Timeline().closing() as timeline:
+            bench = _KillerBench(timeline, 1)
+            for target in bench.fleet.targets.values():
+                target.faults.crash_after_s = 0.1
+            for number in range(12):
+                at = 1.0 + (0.5 + number * 0.01 if number else 0.0)
+                bench.send(at, f"n{number % 6}", b"killer", False)
+            timeline.run_until(5.0)
+            self.assertEqual(2, len(bench.crashed()))
+
     def test_the_quarantine_lapses(self):
         with virtualtime.Timeline().closing() as timeline:
             bench = _KillerBench(timeline, 1)
