--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -217,7 +217,7 @@
         tests = _run(folder, ["-m", "pytest", *map(str, _TESTS)])
     return Result(
         [int(line.split()[-1]) for line in _lines(grid, "broken by seed")],
-        [line.split("::")[-1] for line in _lines(tests, "FAILED")],
+        [line.split("::")[-1].split()[0] for line in _lines(tests, "FAILED")],
     )
 
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -13,6 +14,11 @@
 PACKAGE = ROOT / "packages/schema/src/sardinedoor_schema"
 OUTPUT = PACKAGE / "generated"
 
+# The generator writes defaults of binary fields as text.
+_BYTES_DEFAULT = re.compile(
+    r"""(: (?:Annotated\[\s*)?bytes(?:,\s*Meta\([^)]*\),?\s*\])? = )\"\"""",
+)
+
 _OPTIONS = (
     "--input-file-type=jsonschema",
     "--output-model-type=msgspec.Struct",
@@ -66,7 +72,7 @@
             ],
             check=True,
         )
-        return target.read_text().replace('bytes = ""', 'bytes = b""')
+        return _BYTES_DEFAULT.sub(r'\1b""', target.read_text())
 
 
 def main() -> int:
