Add a scenario language for failures of whole processes

Cause: failures of processes (kill, freeze, planned stop, one-way cut, outage of the platform, bad edit) had no readable proof. A scenario is parsed by lark; each line is a step of its own class; the verdict comes from the targets' run logs and the status pages. Limits are those of the requirements: 4 s for an edit, 2 s for a leaving node, 0 for cut and doubled requests.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/.installed
 PACKAGES = packages/schema packages/node packages/standins packages/cli
 
-.PHONY: setup demo test check format generate docs fuzz clean
+.PHONY: setup demo test check format generate docs fuzz scenarios clean
 
 setup: $(STAMP)
 
@@ -17,6 +17,9 @@
 demo: setup
 	$(BIN)/python -m sardinedoor_standins.demo $(DEMO)
 
+scenarios: setup
+	$(BIN)/python -m sardinedoor_standins.scenario $(sort $(wildcard tests/roots/scenarios/*.scn tests/roots/scenarios/long/*.scn))
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -15,6 +15,7 @@
 from tornado import httpclient
 
 from sardinedoor_schema.generated import platform
+from sardinedoor_standins import board
 from sardinedoor_standins import relay
 from sardinedoor_standins import sockets
 from sardinedoor_standins import target
@@ -22,6 +23,7 @@
 START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
+_STATUS_TIMEOUT_S = 0.5
 _RELAY = "relay"
 
 free_addresses = sockets.free_addresses
@@ -215,13 +217,27 @@
             )
         sockets.write_pid(self._folder, name, self.pid(name))
 
-    async def edit(self, team: str, text: str) -> None:
-        """Edits a team's settings at the platform, as an operator does."""
-        await self._http.fetch(
+    async def edit(self, team: str, text: str) -> int:
+        """Edits a team's settings at the platform, as an operator does.
+
+        Returns:
+            The revision of the edit.
+        """
+        response = await self._http.fetch(
             f"http://{self.platform_address}/edit/settings/{team}",
             method="PUT",
             body=text,
         )
+        subtree = msgspec.json.decode(response.body, type=platform.Subtree)
+        return subtree.revision
+
+    async def set_platform_faults(self, faults: board.Faults) -> None:
+        """Switches faults of the platform's stand-in on and off."""
+        await self._http.fetch(
+            f"http://{self.platform_address}/edit/faults",
+            method="PUT",
+            body=msgspec.json.encode(faults),
+        )
 
     async def publish(self, leaving: tuple[str, ...] = ()) -> None:
         """Publishes the list of instances.
@@ -276,6 +292,23 @@
         body = await self.wait_http(f"http://{node.admin}/status")
         return msgspec.json.decode(body)
 
+    async def status_once(self, node: NodePlan) -> dict:
+        """Reads a node's status page.
+
+        Raises:
+            OSError: The node didn't answer in time.
+        """
+        request = httpclient.HTTPRequest(
+            f"http://{node.admin}/status",
+            connect_timeout=_STATUS_TIMEOUT_S,
+            request_timeout=_STATUS_TIMEOUT_S,
+        )
+        try:
+            response = await self._http.fetch(request)
+        except httpclient.HTTPError as e:
+            raise OSError(str(e)) from e
+        return msgspec.json.decode(response.body)
+
     async def behave(
         self, worker: WorkerPlan, behaviour: target.Behaviour
     ) -> None:
