Prove membership and settings spread under faults in virtual time

Found by the tables and mended: a ping to an address that a new instance had taken over kept the old one alive (pings now name whom they are for); a node without seeds served alone while the list was empty (it now serves only if the list names it and no other); a fresh run could take the list's leaving, meant for the run before, for its own (the list speaks for no run that is still starting).

--- a/packages/node/src/sardinedoor_node/boot.py
+++ b/packages/node/src/sardinedoor_node/boot.py
@@ -101,7 +101,7 @@
         serving = [reply for reply in replies if reply.serving]
         if index is None and not serving:
             return "neither the platform nor a serving peer answers"
-        if not replies and self._has_peers():
+        if not replies and not self._listed_alone():
             return "no peer confirms the platform's revisions"
         await self._settle(_platform_revisions(index), index is not None)
         await self._settle(_peer_revisions(replies), False)
@@ -130,8 +130,9 @@
             return None
         return answer.unwrap_or(None)
 
-    def _has_peers(self) -> bool:
-        return bool(self._members.peers())
+    def _listed_alone(self) -> bool:
+        own = self._members.entries[self._members.own.name]
+        return own.listed and not self._members.peers()
 
     async def _ask_peers(self) -> list[wire.Sync]:
         addresses = [*self._seeds, *self._peer_addresses()]
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -84,6 +84,7 @@
             self._members,
             self._store,
             self._membership.pinger,
+            lambda: self._membership.sync.serving,
             self._clock,
             rng,
             self._tasks,
--- a/packages/node/src/sardinedoor_node/membership/pings.py
+++ b/packages/node/src/sardinedoor_node/membership/pings.py
@@ -87,6 +87,7 @@
         ping = wire.Ping(
             secrets.token_bytes(_ID_BYTES),
             self._members.own.name,
+            name,
             self._members.digest,
             self._settings_digest(),
             **self._age_fields(),
@@ -168,7 +169,10 @@
             self._waiting.pop(message.id, None)
 
     def on_ping(self, channel: link.Channel, ping: wire.Ping) -> None:
-        """Answers a ping."""
+        """Answers a ping, unless it is for an instance that was here before."""
+        if ping.target != self._members.own.name:
+            channel.send(wire.Nack(ping.id))
+            return
         ack = wire.Ack(
             ping.id,
             self._members.digest,
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -344,6 +344,10 @@
     def _apply_own(self, record: wire.MemberState) -> bool:
         own = self._own
         if record.incarnation != own.incarnation:
+            entry = self._entries[own.name]
+            if not entry.restarted:
+                entry.restarted = True
+                entry.run_since = self._clock.monotonic()
             if (record.epoch, record.incarnation) < (
                 own.epoch,
                 own.incarnation,
--- a/packages/node/src/sardinedoor_node/platform/listing.py
+++ b/packages/node/src/sardinedoor_node/platform/listing.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardinedoor_node.membership import table
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import platform
@@ -27,6 +29,7 @@
         members: table.MemberTable,
         failure_domain: str,
         time: clock.Clock,
+        is_serving: Callable[[], bool],
     ):
         """Starts without a list.
 
@@ -34,10 +37,12 @@
             members: The table.
             failure_domain: The domain that the lists are about.
             time: Clock.
+            is_serving: Whether peers have told this node what they know.
         """
         self._members = members
         self._domain = failure_domain
         self._clock = time
+        self._is_serving = is_serving
         self._believed: dict[str, platform.Instance] = {}
         self._unlisted: dict[str, float] = {}
         self._doubted_since: float | None = None
@@ -85,6 +90,8 @@
         return len(lost) > max(_SMALL_COUNT, _LARGE_SHARE * len(live))
 
     def _mark_leaving(self) -> None:
+        if not self._is_serving():
+            return
         now = self._clock.monotonic()
         for instance in self._believed.values():
             entry = self._members.entries.get(instance.name)
--- a/packages/node/src/sardinedoor_node/platform/service.py
+++ b/packages/node/src/sardinedoor_node/platform/service.py
@@ -11,6 +11,8 @@
 from sardinedoor_node.platform import reader
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardinedoor_node.membership import pings
     from sardinedoor_node.membership import table
     from sardinedoor_node.settings import store
@@ -27,9 +29,11 @@
         members: table.MemberTable,
         settings_store: store.SettingsStore,
         pinger: pings.Pinger,
+        is_serving: Callable[[], bool],
         time: clock.Clock,
         rng: random.Random,
         group: tasks.TaskGroup,
+        platform_client: client.PlatformClient | None = None,
     ):
         """Builds the parts; nothing is read yet.
 
@@ -38,18 +42,21 @@
             members: The table.
             settings_store: The settings.
             pinger: Carries how long ago the platform was read.
+            is_serving: Whether boot is done.
             time: Clock.
             rng: Source of randomness.
             group: Runs the tasks.
+            platform_client: Reads the platform, in place of one for the
+                address.
         """
         domain = members.own.failure_domain
         self._tasks = group
         self._pinger = pinger
-        self.client = client.PlatformClient(address)
+        self.client = platform_client or client.PlatformClient(address)
         self.rank = election.ReaderRank(
             members, lambda: pinger.platform_age_s, time
         )
-        self.listing = listing.Listing(members, domain, time)
+        self.listing = listing.Listing(members, domain, time, is_serving)
         self.reader = reader.Reader(
             self.client,
             settings_store,
--- /dev/null
+++ b/tests/test_settings/test_settings_spread.py
@@ -0,0 +1,231 @@
+"""Settings across several nodes under faults, in virtual time."""
+
+from __future__ import annotations
+
+import contextlib
+
+import testtools
+
+from sardinedoor_standins import memcluster
+
+NODES = 8
+SETTLE_S = 8.0
+IN_FORCE_S = 4.0
+TEAM = "office"
+
+
+def text(floor: int, team: str = TEAM) -> str:
+    """Builds a subtree that differs by its floor."""
+    return (
+        f"[team]\nname = {team}\n[service {team}-s]\nworkers = n0-w\n"
+        f"floor = {floor}\n"
+    )
+
+
+@contextlib.contextmanager
+def cluster(seed: int = 1, count: int = NODES):
+    """Starts nodes with one revision in force, and checks at the end."""
+    running = memcluster.Cluster(seed)
+    with running.timeline.closing():
+        running.edit(TEAM, text(1))
+        running.start_many(count)
+        running.run(SETTLE_S)
+        yield running
+    assert_never_back(running)
+
+
+def assert_never_back(running: memcluster.Cluster) -> None:
+    """Checks that no run of a node ever took a lower revision."""
+    newest: dict[tuple[int, str], int] = {}
+    for accepted in running.accepted:
+        key = (accepted.run, accepted.team)
+        assert accepted.revision > newest.get(key, 0), accepted
+        newest[key] = accepted.revision
+
+
+class SpreadTest(testtools.TestCase):
+    def assert_in_force(self, running, revision, team=TEAM):
+        seen = {n.name: n.store.revision(team) for n in running.nodes.values()}
+        self.assertEqual(dict.fromkeys(running.nodes, revision), seen)
+
+    def test_edit_is_in_force_everywhere(self):
+        for seed in (1, 2, 3):
+            with cluster(seed, 24) as running:
+                revision = running.edit(TEAM, text(2))
+                running.run(IN_FORCE_S)
+                self.assert_in_force(running, revision)
+                self.assertEqual(2 * 24, len(running.accepted))
+
+    def test_two_edits_in_quick_succession(self):
+        for pause_s in (0.0, 0.03, 0.2):
+            with cluster() as running:
+                running.edit(TEAM, text(2))
+                running.run(pause_s)
+                revision = running.edit(TEAM, text(3))
+                running.run(IN_FORCE_S)
+                self.assert_in_force(running, revision)
+
+    def test_invalid_edit_is_refused_everywhere_and_by_fresh_nodes(self):
+        with cluster() as running:
+            good = running.nodes["n0"].store.revision(TEAM)
+            bad = running.edit(TEAM, "[broken")
+            running.run(IN_FORCE_S)
+            running.kill("n3")
+            running.start("n3")
+            running.run(IN_FORCE_S)
+            self.assert_in_force(running, good)
+            for node in running.nodes.values():
+                self.assertEqual(bad, node.store.refused[TEAM][0])
+                self.assertTrue(node.serving)
+
+    def test_one_teams_faults_leave_another_alone(self):
+        huge = text(1, "huge") + "#" * (1024 * 1024)
+        for body in ("[broken", huge):
+            with cluster() as running:
+                running.edit("huge", body)
+                revision = running.edit(TEAM, text(2))
+                running.run(IN_FORCE_S)
+                self.assert_in_force(running, revision)
+                self.assert_in_force(running, 0, "huge")
+
+    def test_platform_faults_never_bring_back_an_older_revision(self):
+        for fault in ("stale", "split", "down"):
+            with cluster() as running:
+                running.faults(**{fault: True})
+                revision = running.edit(TEAM, text(2))
+                running.run(IN_FORCE_S)
+                if fault == "split":
+                    running.run(60)
+                    self.assert_in_force(running, revision)
+                else:
+                    self.assert_in_force(running, revision - 1)
+                running.faults()
+                running.run(90)
+                self.assert_in_force(running, revision)
+
+    def test_platform_restored_from_an_old_copy(self):
+        with cluster() as running:
+            running.faults(stale=True)
+            revision = running.edit(TEAM, text(2))
+            running.faults()
+            running.run(60)
+            self.assert_in_force(running, revision)
+            running.board.live.subtrees[TEAM].revision = 1
+            running.board.live.settings_index = 1
+            for name in list(running.nodes):
+                running.kill(name)
+                running.start(name)
+                running.run(6)
+            self.assert_in_force(running, revision)
+            behind = [n.reads.reader.behind for n in running.nodes.values()]
+            self.assertIn([TEAM], behind)
+
+    def test_rolling_restart_during_an_outage_of_hours(self):
+        for fault in ("down", "stale"):
+            with cluster(1, 4) as running:
+                if fault == "stale":
+                    running.faults(stale=True)
+                    running.faults()
+                    running.board._old.subtrees.clear()
+                revision = running.edit(TEAM, text(2))
+                running.run(IN_FORCE_S)
+                running.faults(**{fault: True})
+                running.seeds = ["n0", "n1"]
+                for name in list(running.nodes):
+                    running.kill(name)
+                    running.run(2)
+                    running.start(name)
+                    running.run(5 * 60)
+                    self.assertTrue(running.nodes[name].serving, name)
+                self.assert_in_force(running, revision)
+
+    def test_fresh_node_with_only_a_stale_platform_does_not_serve(self):
+        with cluster() as running:
+            running.faults(stale=True)
+            running.faults()
+            old = running.board._old
+            revision = running.edit(TEAM, text(2))
+            running.run(IN_FORCE_S)
+            running.faults(stale=True)
+            running.board._old = old
+            rest = [name for name in running.nodes if name != "n3"]
+            running.kill("n3")
+            running.cut(rest, ["n3"], 60)
+            running.cut(["n3"], rest, 60)
+            running.start("n3")
+            running.run(50)
+            self.assertFalse(running.nodes["n3"].serving)
+            running.run(60)
+            self.assertTrue(running.nodes["n3"].serving)
+            self.assert_in_force(running, revision)
+
+    def test_node_waking_from_a_pause_catches_up(self):
+        with cluster() as running:
+            running.nodes["n2"].loop.freeze(30)
+            for floor in (2, 3):
+                revision = running.edit(TEAM, text(floor))
+                running.run(10)
+            running.run(10 + IN_FORCE_S)
+            self.assert_in_force(running, revision)
+
+    def test_cold_start_without_platform_recovers_by_itself(self):
+        running = memcluster.Cluster(1)
+        with running.timeline.closing():
+            running.faults(down=True)
+            revision = running.edit(TEAM, text(1))
+            running.start_many(NODES)
+            running.run(60)
+            for node in running.nodes.values():
+                self.assertFalse(node.serving)
+                self.assertIn("neither", node.boot.state)
+            running.faults()
+            running.run(60)
+            self.assert_in_force(running, revision)
+            self.assertTrue(all(n.serving for n in running.nodes.values()))
+
+    def test_joins_with_the_platform_down_through_seeds(self):
+        with cluster() as running:
+            running.faults(down=True)
+            running.seeds = ["n0", "n1"]
+            running.start("n8")
+            running.run(5)
+            self.assertTrue(running.nodes["n8"].serving)
+            self.assert_in_force(
+                running, running.nodes["n0"].store.revision(TEAM)
+            )
+            self.assertEqual(8, len(running.nodes["n8"].states()))
+
+    def test_fallback_when_the_readers_are_dead(self):
+        with cluster(1, 16) as running:
+            readers = [
+                n.name
+                for n in running.nodes.values()
+                if n.reads.rank.is_reader()
+            ]
+            self.assertEqual(8, len(readers))
+            for name in readers:
+                running.kill(name)
+            running.run(10)
+            revision = running.edit(TEAM, text(2))
+            running.run(IN_FORCE_S)
+            self.assert_in_force(running, revision)
+
+    def test_calls_at_the_platform(self):
+        with cluster(1, 24) as running:
+
+            def calls_per_s(seconds: float) -> float:
+                nodes = running.nodes.values()
+                before = sum(n.reads.client.calls for n in nodes)
+                running.run(seconds)
+                after = sum(n.reads.client.calls for n in nodes)
+                return (after - before) / seconds
+
+            running.run(30)
+            watches = 2 * 2 * memcluster.DOMAINS
+            self.assertLessEqual(calls_per_s(60), watches / 30 + 0.1)
+            running.faults(down=True)
+            running.run(300)
+            most = 2 * 6 * memcluster.DOMAINS
+            self.assertLessEqual(calls_per_s(60), most / 15)
+            running.faults()
+            self.assertLessEqual(calls_per_s(10), most / 10 + 1)
