Queue in front of slots, fair to organisations; budget retries; drain whole

Further attempts were unbounded but for three per request. Connections kept after non-idempotent requests were never counted.

Ruled out: a queue without an estimate (waiting for what can't be served in time wastes slots), a counter per organisation (140,000 of them), a budget on requests instead of successes (it keeps retrying while all fails).

--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -76,6 +76,7 @@
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
+        self._store.on_change(self._on_settings)
         self._owner = exchange.Owner(self._workers, self._metrics, self._clock)
         self._exchanges = exchanges.ExchangeTable(incarnation, self._metrics)
         self._forwarder = forward.Forwarder(
@@ -102,6 +103,9 @@
         )
         self._register()
 
+    def _on_settings(self) -> None:
+        workers.apply_limits(self._workers, self._store.services, self._clock)
+
     def _register(self) -> None:
         register = self._transport.on_message
         register(wire.Hello, self._prober.on_message)
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.limits import retries
 from sardinedoor_node.owner import exchange
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
@@ -62,6 +63,7 @@
         self._exchanges = open_exchanges
         self._metrics = counters
         self._clock = time
+        self._budgets = retries.RetryBudgets()
 
     async def forward(self, job: Job) -> Forwarded:
         """Tries targets until one outcome is final.
@@ -72,6 +74,7 @@
         Returns:
             The outcome of the last attempt.
         """
+        budget = self._budgets.of(job.route.settings.service)
         tried: set[str] = set()
         last = Forwarded(codes.Code.NO_TARGET)
         for _ in range(_MAX_ATTEMPTS):
@@ -84,10 +87,18 @@
             tried.add(target.worker)
             last = await self._attempt(job, target)
             if not self._may_retry(job, last):
+                return self._ended(budget, last)
+            if not budget.spend():
+                self._metrics.event("retry_budget_spent")
                 return last
             self._metrics.retry(last.code.name.lower())
         return last
 
+    def _ended(self, budget: retries.RetryBudget, last: Forwarded) -> Forwarded:
+        if codes.outcome(last.code) is codes.Outcome.ANSWERED:
+            budget.answered()
+        return last
+
     def _may_retry(self, job: Job, last: Forwarded) -> bool:
         outcome = codes.outcome(last.code)
         if outcome is codes.Outcome.NOT_RUN:
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on work: slots, queues, shares of organisations and retries."""
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sardinedoor_node.limits import deadlines
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
@@ -99,10 +100,9 @@
             channel.send(wire.Refusal(offer.id, refusal))
             return
         assert worker is not None
-        if not worker.reserve():
-            channel.send(
-                wire.Refusal(offer.id, codes.Code.QUEUE_FULL, worker.load())
-            )
+        waiter = await worker.admit(offer, deadline, self._clock)
+        if waiter.code is not None:
+            channel.send(wire.Refusal(offer.id, waiter.code, worker.load()))
             return
         try:
             request = offer.request
@@ -112,7 +112,7 @@
                 message = await self._run(offer, worker, request, deadline)
                 channel.send(message)
         finally:
-            worker.release()
+            worker.release(waiter, self._clock)
 
     def _refusal(
         self, offer: wire.Offer, worker: workers.LocalWorker | None
@@ -121,6 +121,8 @@
             return codes.Code.NODE_LEAVING
         if worker is None or worker.service != offer.service:
             return codes.Code.NOT_OWNER
+        if worker.leaving:
+            return codes.Code.TARGET_LEAVING
         return None
 
     async def _hold(
@@ -165,7 +167,8 @@
         remaining = deadline - self._clock.monotonic()
         if remaining <= 0:
             return wire.Refusal(offer.id, codes.Code.DEADLINE_EXPIRED)
-        reply = await worker.client.run(request, offer.idempotent, remaining)
+        timed = deadlines.with_remaining(request, remaining)
+        reply = await worker.client.run(timed, offer.idempotent, remaining)
         if reply.code != codes.Code.ANSWERED:
             return wire.Refusal(offer.id, reply.code, worker.load())
         return _to_message(offer.id, reply, worker.load())
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -17,6 +17,7 @@
     from sardinedoor_schema.generated import wire
 
 CONNECT_TIMEOUT_S = 0.5
+DEFAULT_MAX_IDLE = 3
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
@@ -77,6 +78,7 @@
         self._address = address
         self._tcp = tcpclient.TCPClient()
         self._idle: list[iostream.IOStream] = []
+        self.max_idle = DEFAULT_MAX_IDLE
 
     async def run(
         self, request: wire.Request, idempotent: bool, remaining_s: float
@@ -169,7 +171,8 @@
                 return TargetReply(codes.Code.REPLY_TRUNCATED)
             return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
         connection = collector.headers.get("Connection", "")
-        if connection.lower() == "close":
+        full = len(self._idle) >= self.max_idle
+        if full or connection.lower() == "close":
             stream.close()
         elif not stream.closed():
             self._idle.append(stream)
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import secrets
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.limits import admission
 from sardinedoor_node.owner import target
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import settings
 
 DEFAULT_SLOTS = 3
+_SALT_BYTES = 16
 
 
 class LocalWorker:
@@ -20,20 +25,92 @@
         self.name = name
         self.service = worker.service
         self.client = target.TargetClient(worker.address)
-        self.slots = DEFAULT_SLOTS
-        self.in_flight = 0
+        self.leaving = False
+        self._admission = admission.Admission(
+            DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
+        )
 
-    def reserve(self) -> bool:
-        """Takes a slot; False if all are in use."""
-        if self.in_flight >= self.slots:
-            return False
-        self.in_flight += 1
-        return True
+    @property
+    def in_flight(self) -> int:
+        """Slots in use."""
+        return self._admission.in_flight
 
-    def release(self) -> None:
-        """Gives a slot back."""
-        self.in_flight -= 1
+    def set_limits(
+        self, service: settings.ServiceSettings, time: clock.Clock
+    ) -> None:
+        """Takes the limits of the worker's service.
+
+        At most one connection for each slot is in use, and as many are kept
+        idle, as far as the limit of connections allows.
+        """
+        slots = min(service.slots, service.connections)
+        if slots != self._admission.slots:
+            self._admission.resize(slots, time.monotonic())
+        self.client.max_idle = min(slots, service.connections - slots)
+
+    async def admit(
+        self, offer: wire.Offer, deadline: float, time: clock.Clock
+    ) -> admission.Waiter:
+        """Waits for a slot, for a short time only.
+
+        Args:
+            offer: What asks for it.
+            deadline: When the offer expires, monotonic, in s.
+            time: The clock.
+
+        Returns:
+            The waiter; if it was granted, `release` has to follow.
+        """
+        now = time.monotonic()
+        waiter = self._admission.request(
+            offer.organisation, offer.priority, deadline, now
+        )
+        if waiter.decision is admission.Decision.WAITING:
+            await self._wait(waiter, time)
+        return waiter
+
+    async def _wait(self, waiter: admission.Waiter, time: clock.Clock) -> None:
+        decided = asyncio.Event()
+        waiter.on_decision = decided.set
+        now = time.monotonic()
+        left_s = min(self._admission.wait_limit_s(now), waiter.deadline - now)
+        try:
+            async with asyncio.timeout(left_s):
+                await decided.wait()
+        except TimeoutError:
+            self._admission.give_up(waiter, time.monotonic())
+        except asyncio.CancelledError:
+            self._admission.give_up(waiter, time.monotonic())
+            if waiter.decision is admission.Decision.GRANTED:
+                self.release(waiter, time)
+            raise
+
+    def release(self, waiter: admission.Waiter, time: clock.Clock) -> None:
+        """Gives a granted slot back."""
+        self._admission.release(waiter, time.monotonic())
 
     def load(self) -> wire.Load:
         """Returns the load to tell others."""
-        return wire.Load(in_flight=self.in_flight)
+        return wire.Load(
+            in_flight=self._admission.in_flight,
+            queued=self._admission.queued,
+            latency_us=int(self._admission.service_s * 1_000_000),
+        )
+
+
+def apply_limits(
+    local: dict[str, LocalWorker],
+    services: dict[str, settings.ServiceSettings],
+    time: clock.Clock,
+) -> None:
+    """Gives each worker the limits of its service.
+
+    Args:
+        local: The node's own workers by name.
+        services: The services in force by name.
+        time: The clock.
+    """
+    for worker in local.values():
+        service = services.get(worker.service)
+        if service is not None:
+            worker.set_limits(service, time)
--- /dev/null
+++ b/tests/test_fleet/test_fleet_drain.py
@@ -0,0 +1,112 @@
+"""Planned stops of whole processes under load."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import random
+import signal
+import tempfile
+
+import testtools
+
+from sardinedoor_standins import caller
+from sardinedoor_standins import fleet
+
+SEED = 4
+_CALLERS = 24
+_NODES = 3
+_SETTINGS = """
+[team]
+name = permits-office
+[service permits]
+workers = permits-0, permits-1, permits-2, permits-3, permits-4, permits-5
+[route permits]
+service = permits
+path = /permits
+visibility = public
+"""
+
+
+def make_plan() -> fleet.Plan:
+    """Builds three nodes with two workers each."""
+    return fleet.Plan(
+        [
+            fleet.NodePlan(
+                f"n{n}",
+                "attica",
+                f"fd-{n}",
+                [
+                    fleet.WorkerPlan(f"permits-{n * 2 + w}", "permits")
+                    for w in range(2)
+                ],
+            )
+            for n in range(_NODES)
+        ],
+        {"permits-office": _SETTINGS},
+    )
+
+
+class _Load:
+    """Callers that keep connections and move on when a node refuses them."""
+
+    def __init__(self, addresses: list[str], seed: int):
+        self._addresses = addresses
+        self._rng = random.Random(seed)
+        self.endings: collections.Counter[str] = collections.Counter()
+        self.stopped = False
+
+    async def run(self, number: int) -> None:
+        """Sends requests until stopped."""
+        turn = number
+        own = caller.Caller(self._addresses[turn % len(self._addresses)])
+        while not self.stopped:
+            await asyncio.sleep(self._rng.expovariate(1 / 0.03))
+            method = self._rng.choice(("GET", "POST"))
+            body = b"fee" if method == "POST" else b""
+            answer = await own.request(method, "/permits/1", body=body)
+            self._count(answer)
+            if answer.ending is caller.Ending.REFUSED:
+                turn += 1
+                own = caller.Caller(
+                    self._addresses[turn % len(self._addresses)]
+                )
+        own.close()
+
+    def _count(self, answer: caller.Result) -> None:
+        if answer.ending is caller.Ending.RESPONSE:
+            code = answer.headers.get("sardinedoor-code", "")
+            self.endings[f"{answer.status} {code}"] += 1
+        else:
+            self.endings[answer.ending.value] += 1
+
+
+class DrainTest(testtools.TestCase):
+    def test_no_request_is_cut_by_stopping_each_node_in_turn(self):
+        with tempfile.TemporaryDirectory() as folder:
+            endings = asyncio.run(self._run(pathlib.Path(folder)))
+        print(f"seed {SEED}: {dict(endings)}")
+        answered = endings.pop("200 1000")
+        endings.pop("refused", None)
+        self.assertEqual({}, dict(endings))
+        self.assertGreater(answered, 500)
+
+    async def _run(self, folder: pathlib.Path) -> collections.Counter:
+        running = fleet.Fleet(make_plan(), folder)
+        nodes = running.plan.nodes
+        try:
+            await running.start()
+            load = _Load([n.public for n in nodes], SEED)
+            tasks = [asyncio.create_task(load.run(n)) for n in range(_CALLERS)]
+            for node in nodes:
+                await asyncio.sleep(0.7)
+                running.signal(node.name, signal.SIGTERM)
+                self.assertEqual(0, await running.stop(node.name))
+                running.spawn_node(node)
+                await running.wait_ready(node)
+            load.stopped = True
+            await asyncio.gather(*tasks)
+            return load.endings
+        finally:
+            running.close()
