Count only those ahead in a queue; say when an organisation is over its share

Cause: the estimated wait counted waiters that a fair order puts behind, so organisations within their share were refused; refusals of a busy one were tried again elsewhere and spent the budget that the others needed.

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,10 @@
 generate: setup
 	$(BIN)/python tools/generate.py
 
+FUZZ_EXAMPLES ?= 5000
+
+fuzz: setup
+	FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) $(BIN)/python -m pytest -k fuzz
+
 clean:
 	rm -rf $(VENV) docs/_build build out
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -101,6 +101,8 @@
 
     def _may_retry(self, job: Job, last: Forwarded) -> bool:
         outcome = codes.outcome(last.code)
+        if last.code == codes.Code.ORGANISATION_OVER_SHARE:
+            return False
         if outcome is codes.Outcome.NOT_RUN:
             return True
         return outcome is codes.Outcome.UNKNOWN and job.idempotent
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -135,7 +135,7 @@
         if self._fits(waiter, now) or self._make_room(waiter, now):
             self._queue.append(waiter)
             return waiter
-        self._refuse(waiter, codes.Code.QUEUE_FULL)
+        self._refuse(waiter, self._full_code(waiter, now))
         return waiter
 
     def wait_limit_s(self, now: float) -> float:
@@ -156,7 +156,7 @@
         if waiter.decision is not Decision.WAITING:
             return
         self._queue.remove(waiter)
-        self._refuse(waiter, _late_code(waiter, now))
+        self._refuse(waiter, self._late_code(waiter, now))
         self._note_empty(now)
 
     def release(self, waiter: Waiter, now: float) -> None:
@@ -177,7 +177,8 @@
     def _fits(self, waiter: Waiter, now: float) -> bool:
         if len(self._queue) >= self._slots * _QUEUED_PER_SLOT:
             return False
-        ahead = sum(1 for w in self._queue if w.priority >= waiter.priority)
+        own = self._order(waiter, now)
+        ahead = sum(1 for w in self._queue if self._order(w, now) < own)
         wait_s = (ahead + 1) * self._service_s / self._slots
         left_s = waiter.deadline - now - self._service_s
         return wait_s <= min(self.wait_limit_s(now), left_s)
@@ -199,6 +200,17 @@
         self._refuse(victim, code)
         return True
 
+    def _full_code(self, waiter: Waiter, now: float) -> codes.Code:
+        """Blames the organisation if others wait that used far less."""
+        own_s = self._usage.use_s(waiter.cells, now)
+        least_s = min(
+            (self._usage.use_s(w.cells, now) for w in self._queue),
+            default=own_s,
+        )
+        if own_s > _OVER_SHARE * least_s:
+            return codes.Code.ORGANISATION_OVER_SHARE
+        return codes.Code.QUEUE_FULL
+
     def _order(self, waiter: Waiter, now: float) -> tuple[int, float, int]:
         use_s = self._usage.use_s(waiter.cells, now)
         return (-waiter.priority, use_s, waiter.number)
@@ -208,7 +220,7 @@
             waiter = min(self._queue, key=lambda w: self._order(w, now))
             self._queue.remove(waiter)
             if self._is_late(waiter, now):
-                self._refuse(waiter, _late_code(waiter, now))
+                self._refuse(waiter, self._late_code(waiter, now))
             else:
                 self._grant(waiter, now)
         self._note_empty(now)
@@ -218,6 +230,11 @@
             return True
         return now - waiter.arrived > self.wait_limit_s(now)
 
+    def _late_code(self, waiter: Waiter, now: float) -> codes.Code:
+        if waiter.deadline <= now:
+            return codes.Code.DEADLINE_EXPIRED
+        return self._full_code(waiter, now)
+
     def _note_empty(self, now: float) -> None:
         if not self._queue:
             self._emptied = now
@@ -236,9 +253,3 @@
         waiter.code = code
         if waiter.on_decision is not None:
             waiter.on_decision()
-
-
-def _late_code(waiter: Waiter, now: float) -> codes.Code:
-    if waiter.deadline <= now:
-        return codes.Code.DEADLINE_EXPIRED
-    return codes.Code.QUEUE_FULL
--- a/tests/test_limits/test_limits_admission.py
+++ b/tests/test_limits/test_limits_admission.py
@@ -118,13 +118,17 @@
 
     def test_over_its_share_an_organisation_makes_room(self):
         worker = _Worker()
-        worker.learn(0.02)
+        worker.learn(0.001)
         worker.fill("much")
         queued = [worker.ask("much") for _ in range(30)]
+        self.assertEqual(24, worker.admission.queued)
         little = worker.ask("little")
         over = codes.Code.ORGANISATION_OVER_SHARE
         self.assertEqual(1, sum(w.code is over for w in queued))
         self.assertIs(admission.Decision.WAITING, little.decision)
+        # Another owner would refuse it as well, so the code says why.
+        self.assertIs(over, worker.ask("much").code)
+        self.assertIsNot(over, worker.ask("another").code)
 
     def test_a_queue_that_stays_gets_short(self):
         worker = _Worker()
