--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -8,21 +8,25 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import boot
 from sardinedoor_node import drain
 from sardinedoor_node import metrics
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import forward
+from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import listener
 from sardinedoor_node.link import zeromq
-from sardinedoor_node.membership import prober
+from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
+from sardinedoor_node.owner import homes
+from sardinedoor_node.owner import notices
+from sardinedoor_node.owner import suspects
 from sardinedoor_node.owner import workers
 from sardinedoor_node.picking import twochoices
-from sardinedoor_node.platform import client
-from sardinedoor_node.platform import reader
+from sardinedoor_node.platform import service as platform_service
 from sardinedoor_node.settings import store
 from sardinedoor_node.util import clock
 from sardinedoor_node.util import tasks
@@ -54,7 +58,8 @@
         self._own = wire.Member(
             name=file.node.name,
             incarnation=incarnation,
-            link=file.node.link,
+            epoch=int(self._clock.now().timestamp() * 1000),
+            link=file.node.link_advertised or file.node.link,
             failure_domain=file.node.failure_domain,
             region=file.node.region,
             workers=[
@@ -63,27 +68,64 @@
             ],
         )
         self._store = store.SettingsStore()
-        self._members = table.MemberTable(self._own)
+        self._members = table.MemberTable(self._own, self._clock)
         self._transport = zeromq.ZeromqTransport(file.node.name, self._metrics)
-        self._prober = prober.Prober(
-            self._members, self._transport, self._clock
+        rng = random.Random()
+        self._membership = service.Membership(
+            self._members,
+            self._store,
+            self._transport,
+            self._clock,
+            rng,
+            self._tasks,
+        )
+        self._platform = platform_service.PlatformReads(
+            file.node.platform,
+            self._members,
+            self._store,
+            self._membership.pinger,
+            self._clock,
+            rng,
+            self._tasks,
         )
-        self._platform = client.PlatformClient(file.node.platform)
-        self._reader = reader.Reader(
-            self._platform, self._store, self._members, self._clock
+        self._boot = boot.Boot(
+            file.node.seeds,
+            self._members,
+            self._store,
+            self._membership,
+            self._transport,
+            self._platform.client,
+            self._clock,
+            rng,
         )
         self._workers = {
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
         self._store.on_change(self._on_settings)
-        self._owner = exchange.Owner(self._workers, self._metrics, self._clock)
-        self._exchanges = exchanges.ExchangeTable(incarnation, self._metrics)
+        key_homes = homes.Homes(self._store, self._clock)
+        notifier = notices.Notifier(self._members, self._transport, self._clock)
+        self._suspects = suspects.Suspects(
+            notifier.notify, self._metrics, self._clock
+        )
+        self._owner = exchange.Owner(
+            incarnation,
+            self._workers,
+            key_homes,
+            self._suspects,
+            self._metrics,
+            self._clock,
+        )
+        self._exchanges = exchanges.ExchangeTable(
+            incarnation, self._metrics, self._clock
+        )
         self._forwarder = forward.Forwarder(
             self._members,
             self._transport,
             twochoices.TwoChoicesPicker(random.Random()),
             self._exchanges,
+            key_homes,
+            holding.AlwaysHold(),
             self._metrics,
             self._clock,
         )
@@ -98,7 +140,7 @@
             self._members,
             self._owner,
             self._ingress.server,
-            self._prober.announce,
+            self._membership.gossip.flush,
             self._clock,
         )
         self._register()
@@ -108,11 +150,10 @@
 
     def _register(self) -> None:
         register = self._transport.on_message
-        register(wire.Hello, self._prober.on_message)
-        register(wire.Welcome, self._prober.on_message)
         register(wire.Offer, self._owner.on_offer)
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
+        register(wire.CrashNotice, self._suspects.on_notice)
         register(wire.Held, self._exchanges.on_message)
         register(wire.Reply, self._exchanges.on_message)
         register(wire.Refusal, self._exchanges.on_message)
@@ -121,18 +162,22 @@
         """Runs until a planned stop has finished."""
         node = self._file.node
         self._transport.bind(node.link)
-        self._tasks.spawn(self._prober.run(), "prober")
-        self._tasks.spawn(self._reader.watch_settings(), "settings")
-        self._tasks.spawn(self._reader.watch_instances(), "instances")
-        self._tasks.spawn(self._drainer.watch(), "leaving-watch")
+        self._membership.start()
+        self._members.on_change(self._drainer.on_member)
         self._listen_admin(node.admin)
-        await self._reader.settings_seen.wait()
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
-        logger.info("serving")
+        starting = self._tasks.spawn(self._start(), "boot")
         await self._stopping.wait()
+        starting.cancel()
         await self._drain()
 
+    async def _start(self) -> None:
+        await self._boot.run(self._platform.start)
+        self._membership.sync.serving = True
+        self._ingress.starting = False
+        logger.info("serving")
+
     def stop(self) -> None:
         """Begins the planned stop; more calls change nothing."""
         self._stopping.set()
@@ -147,9 +192,10 @@
     def _status(self) -> status.Status:
         return status.collect(
             self._file.node.name,
-            self._reader.settings_seen.is_set(),
+            self._boot.state,
             self._members,
             self._store,
+            self._platform,
         )
 
     async def _drain(self) -> None:
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -46,6 +46,7 @@
         self._metrics = counters
         self._clock = time
         self._routes = routes.RouteTable([])
+        self.starting = True
         self._server = server.Server(
             self, counters, time, max_connections, tls_context
         )
@@ -75,6 +76,8 @@
 
     def check(self, request: server.Request) -> codes.Code | None:
         """See base class."""
+        if self.starting:
+            return codes.Code.NODE_STARTING
         key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         if not headers.is_key(key):
             return codes.Code.BAD_REQUEST
--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -10,6 +10,9 @@
     from sardinedoor_schema import base
 
 
+CONTROL_SUFFIX = "/control"
+
+
 class Channel(abc.ABC):
     """One way to send messages to one peer."""
 
@@ -25,6 +28,15 @@
             message may arrive late, or never.
         """
 
+    async def opened(self) -> bool:
+        """Waits for a link that has just been asked for.
+
+        Returns:
+            True once a message can be sent; False at once for a link that
+            should have opened long ago.
+        """
+        return True
+
 
 Receiver = Callable[[Channel, "base.Message"], None]
 
@@ -44,3 +56,26 @@
     @abc.abstractmethod
     def on_message(self, cls: type[base.Message], receiver: Receiver) -> None:
         """Registers the receiver of one class of messages."""
+
+    def connect_control(self, name: str, address: str) -> Channel:
+        """Returns a channel to a peer for control messages only.
+
+        It is apart from the one for requests, so that neither waits for the
+        other, and its users probe it themselves.
+
+        Args:
+            name: Name of the peer.
+            address: IP number and port of the peer's link listener.
+        """
+        return self.connect(name + CONTROL_SUFFIX, address)
+
+    def disconnect_control(self, name: str) -> None:
+        """Closes the channel for control messages, if one is open."""
+        self.disconnect(name + CONTROL_SUFFIX)
+
+    def disconnect(self, name: str) -> None:  # noqa: B027
+        """Closes the channel to a peer, if one is open.
+
+        Args:
+            name: Name under which it was opened.
+        """
--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -24,13 +24,19 @@
         self._socket = socket
         self._loop = asyncio.get_running_loop()
         self._readable = asyncio.Event()
+        self._writable = asyncio.Event()
         self._descriptor = socket.getsockopt(zmq.FD)
         self._loop.add_reader(self._descriptor, self._check)
         self._check()
 
     def _check(self) -> None:
-        if self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+        events = self._socket.getsockopt(zmq.EVENTS)
+        if events & zmq.POLLIN:
             self._readable.set()
+        if events & zmq.POLLOUT:
+            self._writable.set()
+        else:
+            self._writable.clear()
 
     def send(self, parts: list[bytes]) -> bool:
         """Sends a message of one or more parts.
@@ -50,6 +56,24 @@
             self._check()
         return True
 
+    async def wait_writable(self, timeout_s: float) -> bool:
+        """Waits until a message can be sent.
+
+        Args:
+            timeout_s: Longest time, in s.
+        """
+        self._check()
+        if self._writable.is_set():
+            return True
+        if timeout_s <= 0:
+            return False
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._writable.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def receive(self) -> list[bytes]:
         """Waits for a message and returns its parts."""
         while True:
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import time
 from typing import TYPE_CHECKING
 
 import zmq
@@ -23,17 +24,29 @@
 
 HEARTBEAT_INTERVAL_MS = 300
 HEARTBEAT_TIMEOUT_MS = 900
+OPEN_TIMEOUT_S = 0.25
 CLOSE_LINGER_MS = 1000
 _QUEUE_FRAMES = 1000
+_KEEPALIVE_S = 30
+_RECONNECT_MAX_MS = 1000
+_ROUTER_CHANNELS = 4096
 
 
 def _configure(socket: zmq.Socket) -> None:
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, _QUEUE_FRAMES)
     socket.setsockopt(zmq.RCVHWM, _QUEUE_FRAMES)
+    socket.setsockopt(zmq.MAXMSGSIZE, frames.MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_S)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+
+
+def _configure_heartbeat(socket: zmq.Socket) -> None:
+    """Lets the connecting side probe; the other closes when it stops."""
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-    socket.setsockopt(zmq.MAXMSGSIZE, frames.MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
 
 
 class DealerChannel(link.Channel):
@@ -41,11 +54,17 @@
 
     def __init__(self, dealer: port.Port):
         self.port = dealer
+        self._created = time.monotonic()
 
     def send(self, message: base.Message) -> bool:
         """See base class."""
         return self.port.send([frames.encode(message)])
 
+    async def opened(self) -> bool:
+        """See base class."""
+        age_s = time.monotonic() - self._created
+        return await self.port.wait_writable(OPEN_TIMEOUT_S - age_s)
+
 
 class RouterChannel(link.Channel):
     """Sends to one peer that has connected to the ROUTER."""
@@ -110,6 +129,17 @@
         """See base class."""
         if name == self._own_name:
             return self._local
+        return self._connect(name, address, heartbeat=True)
+
+    def connect_control(self, name: str, address: str) -> link.Channel:
+        """See base class."""
+        return self._connect(
+            name + link.CONTROL_SUFFIX, address, heartbeat=False
+        )
+
+    def _connect(
+        self, name: str, address: str, heartbeat: bool
+    ) -> link.Channel:
         peer = self._peers.get(name)
         if peer is not None and peer.address == address:
             return peer.channel
@@ -117,6 +147,8 @@
             self.disconnect(name)
         dealer = self._context.socket(zmq.DEALER)
         _configure(dealer)
+        if heartbeat:
+            _configure_heartbeat(dealer)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
         dealer.connect(f"tcp://{address}")
         channel = DealerChannel(port.Port(dealer))
@@ -125,7 +157,7 @@
         return channel
 
     def disconnect(self, name: str) -> None:
-        """Closes the link to a peer."""
+        """See base class."""
         peer = self._peers.pop(name, None)
         if peer is not None:
             peer.task.cancel()
@@ -140,6 +172,8 @@
             identity, frame = parts
             channel = channels.get(identity)
             if channel is None:
+                if len(channels) >= _ROUTER_CHANNELS:
+                    channels.clear()
                 channel = RouterChannel(router, identity)
                 channels[identity] = channel
             self._dispatcher.receive(channel, frame)
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -11,6 +11,7 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from sardinedoor_node import owner
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import settings
 
@@ -21,10 +22,22 @@
 class LocalWorker:
     """One worker: its connections, and the requests it runs."""
 
-    def __init__(self, name: str, worker: settings.WorkerSettings):
+    def __init__(
+        self,
+        name: str,
+        worker: settings.WorkerSettings,
+        client: owner.Client | None = None,
+    ):
+        """Starts idle.
+
+        Args:
+            name: Name of the worker.
+            worker: Its settings.
+            client: Takes requests to it; by default over HTTP.
+        """
         self.name = name
         self.service = worker.service
-        self.client = target.TargetClient(worker.address)
+        self.client = client or target.TargetClient(worker.address)
         self.leaving = False
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
--- a/packages/standins/src/sardinedoor_standins/loopback.py
+++ b/packages/standins/src/sardinedoor_standins/loopback.py
@@ -97,6 +97,7 @@
             max_connections,
             tls_context,
         )
+        self.ingress.starting = False
         if not settings_store.offer(platform.Subtree("t", 1, settings)):
             raise ValueError(settings_store.refused)
         self.public = self._listen(True)
--- a/tests/test_fleet/test_fleet_drain.py
+++ b/tests/test_fleet/test_fleet_drain.py
@@ -103,10 +103,24 @@
                 await asyncio.sleep(0.7)
                 running.signal(node.name, signal.SIGTERM)
                 self.assertEqual(0, await running.stop(node.name))
+                await self._print_reasons(running, node)
                 running.spawn_node(node)
                 await running.wait_ready(node)
+            await self._print_reasons(running, None)
             load.stopped = True
             await asyncio.gather(*tasks)
             return load.endings
         finally:
             running.close()
+
+    async def _print_reasons(
+        self, running: fleet.Fleet, stopped: fleet.NodePlan | None
+    ) -> None:
+        for node in running.plan.nodes:
+            if node is stopped:
+                continue
+            body = await running.wait_http(f"http://{node.admin}/metrics")
+            for line in body.decode().splitlines():
+                if line.startswith(("sardinedoor_ret", "sardinedoor_ev")):
+                    name = stopped.name if stopped else "none"
+                    print(f"{name} stopped, {node.name}: {line}")
