--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -121,8 +121,6 @@
     async def _attempt(self, job: Job, target: table.Target) -> Forwarded:
         entry = self._members.entries[target.node]
         channel = self._transport.connect(entry.name, entry.link)
-        if not await channel.opened():
-            return Forwarded(codes.Code.LINK_DOWN, target.worker)
         exchange_id, inbox = self._exchanges.open()
         offer = self._offer(job, target, exchange_id)
         hold = self._holds(job, channel)
--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -28,13 +28,16 @@
             message may arrive late, or never.
         """
 
-    async def opened(self) -> bool:
-        """Waits for a link that has just been asked for.
+    async def ready(self, timeout_s: float) -> bool:
+        """Waits until the channel takes messages.
+
+        Args:
+            timeout_s: Longest wait, in s.
 
         Returns:
-            True once a message can be sent; False at once for a link that
-            should have opened long ago.
+            False if it takes none yet.
         """
+        del timeout_s
         return True
 
 
--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -35,8 +35,6 @@
             self._readable.set()
         if events & zmq.POLLOUT:
             self._writable.set()
-        else:
-            self._writable.clear()
 
     def send(self, parts: list[bytes]) -> bool:
         """Sends a message of one or more parts.
@@ -56,23 +54,22 @@
             self._check()
         return True
 
-    async def wait_writable(self, timeout_s: float) -> bool:
+    async def writable(self, timeout_s: float) -> bool:
         """Waits until a message can be sent.
 
         Args:
-            timeout_s: Longest time, in s.
+            timeout_s: Longest wait, in s.
+
+        Returns:
+            False if none can be sent yet.
         """
+        self._writable.clear()
         self._check()
-        if self._writable.is_set():
-            return True
-        if timeout_s <= 0:
-            return False
         try:
             async with asyncio.timeout(timeout_s):
-                await self._writable.wait()
+                return await self._writable.wait()
         except TimeoutError:
             return False
-        return True
 
     async def receive(self) -> list[bytes]:
         """Waits for a message and returns its parts."""
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import logging
-import time
 from typing import TYPE_CHECKING
 
 import zmq
@@ -24,7 +23,6 @@
 
 HEARTBEAT_INTERVAL_MS = 300
 HEARTBEAT_TIMEOUT_MS = 900
-OPEN_TIMEOUT_S = 0.25
 CLOSE_LINGER_MS = 1000
 _QUEUE_FRAMES = 1000
 _KEEPALIVE_S = 30
@@ -54,16 +52,14 @@
 
     def __init__(self, dealer: port.Port):
         self.port = dealer
-        self._created = time.monotonic()
 
     def send(self, message: base.Message) -> bool:
         """See base class."""
         return self.port.send([frames.encode(message)])
 
-    async def opened(self) -> bool:
+    async def ready(self, timeout_s: float) -> bool:
         """See base class."""
-        age_s = time.monotonic() - self._created
-        return await self.port.wait_writable(OPEN_TIMEOUT_S - age_s)
+        return await self.port.writable(timeout_s)
 
 
 class RouterChannel(link.Channel):
