--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -103,6 +103,7 @@
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
+        self._store.on_change(self._on_settings)
         key_homes = homes.Homes(self._store, self._clock)
         notifier = notices.Notifier(self._members, self._transport, self._clock)
         self._suspects = suspects.Suspects(
@@ -145,6 +146,9 @@
         )
         self._register()
 
+    def _on_settings(self) -> None:
+        workers.apply_limits(self._workers, self._store.services, self._clock)
+
     def _register(self) -> None:
         register = self._transport.on_message
         register(wire.Offer, self._owner.on_offer)
@@ -160,7 +164,7 @@
         node = self._file.node
         self._transport.bind(node.link)
         self._membership.start()
-        self._tasks.spawn(self._drainer.watch(), "leaving-watch")
+        self._members.on_change(self._drainer.on_member)
         self._listen_admin(node.admin)
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 import result
 
+from sardinedoor_node.limits import deadlines
 from sardinedoor_node.owner import holds
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.owner import seen
@@ -146,6 +147,8 @@
             return exchange.refuse(codes.Code.NODE_LEAVING)
         if worker is None or worker.service != offer.service:
             return exchange.refuse(codes.Code.NOT_OWNER)
+        if worker.leaving:
+            return exchange.refuse(codes.Code.TARGET_LEAVING)
         if self._suspects.is_refused(offer.fingerprint):
             return exchange.refuse(codes.Code.QUARANTINED)
         if offer.key and not offer.idempotent:
@@ -196,8 +199,11 @@
     async def _reserve(
         self, exchange: Exchange, worker: workers.LocalWorker
     ) -> _Outcome:
-        if not worker.reserve():
-            return exchange.refuse(codes.Code.QUEUE_FULL, worker.load())
+        waiter = await worker.admit(
+            exchange.offer, exchange.deadline, self._clock
+        )
+        if waiter.code is not None:
+            return exchange.refuse(waiter.code, worker.load())
         try:
             request = exchange.offer.request
             if isinstance(request, msgspec.UnsetType):
@@ -207,7 +213,7 @@
                 request = held.unwrap()
             return await self._run(exchange, worker, request)
         finally:
-            worker.release()
+            worker.release(waiter, self._clock)
 
     async def _hold(
         self, exchange: Exchange
@@ -250,7 +256,8 @@
             return exchange.refuse(codes.Code.DEADLINE_EXPIRED)
         self._suspects.begin(offer.service, fingerprint, remaining_s)
         exchange.started = True
-        reply = await worker.client.run(request, offer.idempotent, remaining_s)
+        timed = deadlines.with_remaining(request, remaining_s)
+        reply = await worker.client.run(timed, offer.idempotent, remaining_s)
         await self._note_end(offer.service, worker, fingerprint, reply.code)
         if reply.code != codes.Code.ANSWERED:
             return exchange.refuse(reply.code, worker.load())
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -18,6 +18,7 @@
     from sardinedoor_schema.generated import wire
 
 CONNECT_TIMEOUT_S = 0.5
+DEFAULT_MAX_IDLE = 3
 SILENT_S = 1.0
 EXIT_S = 0.05
 SLOW_S = 10.0
@@ -92,6 +93,7 @@
         self._port = int(port)
         self._address = address
         self._idle: list[iostream.IOStream] = []
+        self.max_idle = DEFAULT_MAX_IDLE
         self._slow_until = 0.0
 
     async def run(
@@ -213,7 +215,8 @@
                 return TargetReply(codes.Code.REPLY_TRUNCATED)
             return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
         connection = collector.headers.get("Connection", "")
-        if connection.lower() == "close":
+        full = len(self._idle) >= self.max_idle
+        if full or connection.lower() == "close":
             stream.close()
         elif not stream.closed():
             self._idle.append(stream)
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -218,7 +218,12 @@
 
 def _queue_full(bench: _Bench) -> None:
     worker = bench.owner._workers["n0-w0"]
-    worker.reserve = lambda *arguments: False
+    worker._admission.resize(0, 0.0)
+    bench.send()
+
+
+def _target_leaving(bench: _Bench) -> None:
+    bench.owner._workers["n0-w0"].leaving = True
     bench.send()
 
 
@@ -227,6 +232,7 @@
     _C.ANSWERED_BEFORE: _answered_before,
     _C.NO_TARGET: _no_target,
     _C.NODE_LEAVING: _node_leaving,
+    _C.TARGET_LEAVING: _target_leaving,
     _C.NOT_OWNER: _not_owner,
     _C.QUEUE_FULL: _queue_full,
     _C.DEADLINE_EXPIRED: _deadline_expired,
