Name value, allowed values and a number in each settings fault

Cause: a fault named neither what was allowed nor the value; ports 0 and 65536, an address used twice, an admin listener open to other machines, a floor above the number of workers and an odd name passed; an address in use by the link ended the daemon with a traceback and exit code 1, since zmq's error isn't an OSError. A NUL in the text named the parser's own default section, so its keys leaked into all others.

Ruled out: checking addresses by a longer pattern in the schema; it can't compare two keys, and its message says nothing to a reader.

Result codes and settings codes are compared with docs/codes.rst by a test.

--- a/packages/node/src/sardinedoor_node/main.py
+++ b/packages/node/src/sardinedoor_node/main.py
@@ -9,6 +9,7 @@
 from typing import Annotated
 
 import typer
+import zmq
 
 from sardinedoor_node import daemon
 from sardinedoor_node.settings import nodefile
@@ -36,7 +37,7 @@
     logs.configure(file.node.name, file.node.log_level)
     try:
         asyncio.run(_run(file))
-    except OSError as e:
+    except (OSError, zmq.ZMQError) as e:
         print(f"can't listen: {e}", file=sys.stderr)
         raise typer.Exit(EXIT_LISTEN) from e
 
--- a/packages/node/src/sardinedoor_node/settings/nodefile.py
+++ b/packages/node/src/sardinedoor_node/settings/nodefile.py
@@ -7,6 +7,8 @@
 
 import result
 
+from sardinedoor_node.settings import addresses
+from sardinedoor_schema import faults
 from sardinedoor_schema import ini
 from sardinedoor_schema.generated import settings
 
@@ -32,17 +34,28 @@
         The settings, or all faults.
     """
     reader = ini.Reader(file, text)
+    if reader.faults:
+        return result.Err(reader.faults)
     node = reader.convert("node", settings.NodeSettings)
     workers = {}
     for section in reader.sections():
         if section == "node":
             continue
         if not section.startswith(_WORKER_PREFIX):
-            reader.fault(section, "", "unknown section")
+            reader.fault(
+                section,
+                "",
+                "unknown section",
+                faults.FaultCode.UNKNOWN_SECTION,
+                allowed_values="[node], [worker NAME]",
+            )
             continue
         worker = reader.convert(section, settings.WorkerSettings)
         if worker is not None:
-            workers[section.removeprefix(_WORKER_PREFIX)] = worker
+            name = section.removeprefix(_WORKER_PREFIX)
+            reader.check_name(section, "", name)
+            workers[name] = worker
+    addresses.check(reader)
     if reader.faults or node is None:
         return result.Err(reader.faults)
     return result.Ok(NodeFile(node, workers))
@@ -55,5 +68,6 @@
     try:
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as e:
-        return result.Err([ini.Fault(str(path), "", "", str(e))])
+        code = faults.FaultCode.UNREADABLE
+        return result.Err([ini.Fault(str(path), "", "", str(e), code)])
     return parse(str(path), text)
--- a/packages/node/src/sardinedoor_node/settings/tree.py
+++ b/packages/node/src/sardinedoor_node/settings/tree.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import re
 from typing import TYPE_CHECKING
@@ -91,7 +92,8 @@
             _convert_section(reader, section, subtree)
         found.extend(reader.faults)
         yield
-    found.extend(_check_whole(subtree, seen))
+    if all(fault.code != faults.FaultCode.SYNTAX for fault in found):
+        found.extend(_check_whole(subtree, seen))
     return result.Err(found) if found else result.Ok(subtree)
 
 
@@ -112,14 +114,23 @@
 
 def _check_whole(subtree: Subtree, seen: set[str]) -> Iterator[ini.Fault]:
     if "team" not in seen:
-        yield ini.Fault(subtree.team, "team", "", "section is missing")
+        yield ini.Fault(
+            subtree.team,
+            "team",
+            "",
+            "section is missing",
+            faults.FaultCode.MISSING,
+        )
     for name, route in subtree.routes.items():
         if route.service not in subtree.services:
             yield ini.Fault(
                 subtree.team,
                 _ROUTE_PREFIX + name,
                 "service",
-                "is not one of the team's",
+                "is not one of the team's services",
+                faults.FaultCode.UNKNOWN_SERVICE,
+                route.service,
+                ", ".join(subtree.services) or "none; the team has no service",
             )
 
 
@@ -133,14 +144,50 @@
         service = reader.convert(section, settings.ServiceSettings)
         if service is not None:
             name = section.removeprefix(_SERVICE_PREFIX)
+            reader.check_name(section, "", name)
             subtree.services[name] = service
+            _check_service(reader, section, service)
         return
     if section.startswith(_ROUTE_PREFIX):
         route = reader.convert(section, settings.RouteSettings)
         if route is not None:
-            subtree.routes[section.removeprefix(_ROUTE_PREFIX)] = route
+            name = section.removeprefix(_ROUTE_PREFIX)
+            reader.check_name(section, "", name)
+            subtree.routes[name] = route
         return
-    reader.fault(section, "", "unknown section")
+    reader.fault(
+        section,
+        "",
+        "unknown section",
+        faults.FaultCode.UNKNOWN_SECTION,
+        allowed_values="[team], [service NAME], [route NAME]",
+    )
+
+
+def _check_service(
+    reader: ini.Reader, section: str, service: settings.ServiceSettings
+) -> None:
+    counts = collections.Counter(service.workers)
+    for worker in counts:
+        reader.check_name(section, "workers", worker)
+    for worker in sorted(w for w, count in counts.items() if count > 1):
+        reader.fault(
+            section,
+            "workers",
+            "a worker stands twice",
+            faults.FaultCode.DUPLICATE_WORKER,
+            worker,
+            "each worker once",
+        )
+    if service.floor > len(counts):
+        reader.fault(
+            section,
+            "floor",
+            "is higher than the number of workers",
+            faults.FaultCode.FLOOR_ABOVE_WORKERS,
+            str(service.floor),
+            f"a whole number from 0 to {len(counts)}",
+        )
 
 
 def _convert_team(reader: ini.Reader, subtree: Subtree) -> None:
@@ -148,6 +195,12 @@
     if header is None:
         return
     if header.name != subtree.team:
-        reason = f"{header.name!r} is not {subtree.team!r}"
-        reader.fault("team", "name", reason)
+        reader.fault(
+            "team",
+            "name",
+            "is not the name of the subtree",
+            faults.FaultCode.WRONG_TEAM,
+            header.name,
+            subtree.team,
+        )
     subtree.confirm_removal = header.confirm_removal
--- a/tests/test_schema/test_schema_codes.py
+++ b/tests/test_schema/test_schema_codes.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import pathlib
+import re
+
 import testtools
 
 from sardinedoor_schema import codes
+from sardinedoor_schema import faults
+
+_PAGE = pathlib.Path(__file__).resolve().parents[2] / "docs" / "codes.rst"
 
 
 class CodesTest(testtools.TestCase):
@@ -19,3 +25,31 @@
 
     def test_a_code_of_a_newer_version_is_unknown(self):
         self.assertIs(codes.Outcome.UNKNOWN, codes.outcome(7001))
+
+
+class PageTest(testtools.TestCase):
+    def _rows(self) -> dict[int, list[str]]:
+        text = _PAGE.read_text()
+        rows = re.findall(
+            r"\* - (\d+)\n\s+- (\S+)\n\s+- (.+)(?:\n\s+- (.+))?", text
+        )
+        return {int(number): list(rest) for number, *rest in rows}
+
+    def test_page_lists_exactly_the_codes(self):
+        rows = self._rows()
+        known = {int(c) for c in codes.Code} | {
+            int(c) for c in faults.FaultCode
+        }
+        self.assertEqual(known, set(rows))
+
+    def test_page_tells_name_outcome_and_status(self):
+        rows = self._rows()
+        for code in codes.Code:
+            outcome = codes.outcome(code)
+            status = str(codes.http_status(code))
+            if outcome is codes.Outcome.ANSWERED:
+                status = "of the target"
+            expected = [code.name.lower(), outcome.value, status]
+            self.assertEqual(expected, rows[int(code)], code)
+        for fault in faults.FaultCode:
+            self.assertEqual(fault.name.lower(), rows[int(fault)][0])
