Let node links leave by the node's own address; the relay tells nodes by it

The relay took 88% of a core: to learn which node a connection came from, it read the kernel's table of about 9,700 connections each time, 25 ms for each of 1,014 connections in 28 s. While it was busy, links looked silent and were opened anew. Ruled out: the delays of the relay's pipes, and a queue on the owners. Links now leave by the IP number that a node listens on, and each node of a stand-in fleet has one of its own.

--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -28,6 +28,7 @@
 _KEEPALIVE_S = 30
 _RECONNECT_MAX_MS = 1000
 _ROUTER_CHANNELS = 4096
+_ANY_HOSTS = ("0.0.0.0", "[::]")
 
 
 def _configure(socket: zmq.Socket) -> None:
@@ -98,6 +99,7 @@
         self._peers: dict[str, _Peer] = {}
         self._tasks = tasks.TaskGroup()
         self._router: port.Port | None = None
+        self._source = ""
 
     def on_message(
         self, cls: type[base.Message], receiver: link.Receiver
@@ -106,7 +108,7 @@
         self._dispatcher.register(cls, receiver)
 
     def bind(self, address: str) -> None:
-        """Listens for peers.
+        """Listens for peers; links to them leave by the same IP number.
 
         Args:
             address: IP number and port.
@@ -118,6 +120,9 @@
         _configure(router)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         router.bind(f"tcp://{address}")
+        host = address.rpartition(":")[0]
+        if host not in _ANY_HOSTS:
+            self._source = f"{host}:0;"
         self._router = port.Port(router)
         self._tasks.spawn(self._serve(self._router), "link-router")
 
@@ -146,7 +151,7 @@
         if heartbeat:
             _configure_heartbeat(dealer)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
-        dealer.connect(f"tcp://{address}")
+        dealer.connect(f"tcp://{self._source}{address}")
         channel = DealerChannel(port.Port(dealer))
         task = self._tasks.spawn(self._receive(channel), f"link-{name}")
         self._peers[name] = _Peer(address, channel, task)
--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -21,6 +21,7 @@
 from sardinedoor_standins import target
 
 START_TIMEOUT_S = 20.0
+_HOST_RANGE = 250
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
 _STATUS_TIMEOUT_S = 0.5
@@ -87,14 +88,14 @@
         self._assign()
 
     def _assign(self) -> None:
-        for node in self.plan.nodes:
-            (
-                node.public,
-                node.internal,
-                node.link,
-                node.admin,
-                node.advertised,
-            ) = sockets.free_addresses(5)
+        for number, node in enumerate(self.plan.nodes, 1):
+            node.public, node.internal, node.admin, node.advertised = (
+                sockets.free_addresses(4)
+            )
+            # The relay tells nodes apart by the IP number of their links.
+            high, low = divmod(number, _HOST_RANGE)
+            host = f"127.0.{high + 1}.{low}"
+            node.link = sockets.free_addresses(1, host)[0]
             if not self.plan.relayed:
                 node.advertised = node.link
             addresses = sockets.free_addresses(len(node.workers))
@@ -131,7 +132,7 @@
             for n in self.plan.nodes
         ]
         path = self._folder / "relay.json"
-        layout = relay.Layout(str(self._folder), routes)
+        layout = relay.Layout(routes)
         path.write_bytes(msgspec.json.encode(layout))
         self._spawn(
             _RELAY,
@@ -215,7 +216,6 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
             )
-        sockets.write_pid(self._folder, name, self.pid(name))
 
     async def edit(self, team: str, text: str) -> int:
         """Edits a team's settings at the platform, as an operator does.
--- a/packages/standins/src/sardinedoor_standins/pipes.py
+++ b/packages/standins/src/sardinedoor_standins/pipes.py
@@ -121,7 +121,7 @@
         self.destination = destination
         self.accepted = asyncio.Event()
         self.passable = asyncio.Event()
-        self.caller_port = 0
+        self.caller_host = ""
         self._transports: list[asyncio.Transport] = []
         self._forward = Pipe()
         self._backward = Pipe()
@@ -138,7 +138,7 @@
 
     def _on_accepted(self, transport: asyncio.Transport) -> None:
         self._transports.append(transport)
-        self.caller_port = transport.get_extra_info("peername")[1]
+        self.caller_host = transport.get_extra_info("peername")[0]
         self.accepted.set()
 
     def set_path(self, delay_s: float, cut: bool, cut_back: bool) -> None:
--- a/packages/standins/src/sardinedoor_standins/relay.py
+++ b/packages/standins/src/sardinedoor_standins/relay.py
@@ -12,10 +12,6 @@
 import typer
 
 from sardinedoor_standins import pipes
-from sardinedoor_standins import sockets
-
-_SOURCE_WAIT_S = 0.05
-_SOURCE_TRIES = 20
 
 
 class Route(msgspec.Struct):
@@ -28,9 +24,8 @@
 
 
 class Layout(msgspec.Struct):
-    """All listeners, and the folder in which each node's pid is found."""
+    """All listeners; each node has an IP number of its own."""
 
-    folder: str
     routes: list[Route]
 
 
@@ -67,6 +62,7 @@
             layout: Listeners and nodes.
         """
         self._layout = layout
+        self._nodes = {_host(r.upstream): r.node for r in layout.routes}
         self._domains = {r.node: r.failure_domain for r in layout.routes}
         self._faults = Faults()
         self._connections: set[pipes.Connection] = set()
@@ -110,7 +106,8 @@
 
     async def _open(self, connection: pipes.Connection, route: Route) -> None:
         try:
-            connection.source = await self._source(connection, route)
+            await connection.accepted.wait()
+            connection.source = self._nodes.get(connection.caller_host, "")
             self._apply(connection)
             await connection.passable.wait()
             host, _, port = route.upstream.rpartition(":")
@@ -120,20 +117,6 @@
         except OSError:
             connection.abort()
 
-    async def _source(self, connection: pipes.Connection, route: Route) -> str:
-        await connection.accepted.wait()
-        port = connection.caller_port
-        remote = int(route.listen.rpartition(":")[2])
-        folder = pathlib.Path(self._layout.folder)
-        for _ in range(_SOURCE_TRIES):
-            name = sockets.owner_of_connection(
-                port, remote, sockets.read_pids(folder)
-            )
-            if name:
-                return name
-            await asyncio.sleep(_SOURCE_WAIT_S)
-        raise ConnectionError("no node has this connection")
-
     def _apply(self, connection: pipes.Connection) -> None:
         source, destination = connection.source, connection.destination
         connection.set_path(
@@ -166,6 +149,10 @@
         return place in ("*", node, self._domains.get(node))
 
 
+def _host(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
 class _FaultsHandler(web.RequestHandler):
     def initialize(self, relay: Relay) -> None:
         self._relay = relay
--- a/tests/test_standins/test_standins_relay.py
+++ b/tests/test_standins/test_standins_relay.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import pathlib
-import tempfile
 import time
 
 import testtools
@@ -15,6 +12,7 @@
 
 DELAY_MS = 30.0
 SILENCE_S = 0.2
+_NEAR = "127.0.1.1"
 
 
 class _Echo:
@@ -24,19 +22,16 @@
         self.address, self.relayed = sockets.free_addresses(2)
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
-        self._folder = tempfile.TemporaryDirectory()
-        sockets.write_pid(pathlib.Path(self._folder.name), "near", os.getpid())
         routes = [
             relay.Route("far", "fd-b", self.relayed, self.address),
-            relay.Route("near", "fd-a", sockets.free_addresses(1)[0], ""),
+            relay.Route("near", "fd-a", *sockets.free_addresses(2, _NEAR)),
         ]
-        self.relay = relay.Relay(relay.Layout(self._folder.name, routes))
+        self.relay = relay.Relay(relay.Layout(routes))
         await self.relay.listen()
         return self
 
     async def __aexit__(self, *exc) -> None:
         self._server.close()
-        self._folder.cleanup()
 
     async def _serve(self, reader, writer) -> None:
         while line := await reader.readline():
@@ -46,7 +41,9 @@
     async def open(self):
         """Connects through the relay."""
         host, _, port = self.relayed.rpartition(":")
-        return await asyncio.open_connection(host, int(port))
+        return await asyncio.open_connection(
+            host, int(port), local_addr=(_NEAR, 0)
+        )
 
 
 async def _ask(connection, timeout_s: float = 2.0) -> bytes | None:
