Give each settings fault the number of its kind in every parser

Whole texts got numbers of their own for syntax, missing keys, unknown keys and a wrong team name, while texts read in slices still said 5001 for a section that stands twice. The tests of the store expected 5001 for all; each now expects the number of its kind, which is stricter. The spread tests differ by slots, since a floor above the number of workers is now refused.

--- a/packages/node/src/sardinedoor_node/settings/tree.py
+++ b/packages/node/src/sardinedoor_node/settings/tree.py
@@ -87,7 +87,12 @@
             reader = ini.Reader(team, "\n" * lines_before + part)
         for section in reader.sections():
             if section in seen:
-                reader.fault(section, "", "section stands twice")
+                reader.fault(
+                    section,
+                    "",
+                    "section stands twice",
+                    faults.FaultCode.SYNTAX,
+                )
             seen.add(section)
             _convert_section(reader, section, subtree)
         found.extend(reader.faults)
--- a/tests/test_settings/test_settings_spread.py
+++ b/tests/test_settings/test_settings_spread.py
@@ -14,11 +14,11 @@
 TEAM = "office"
 
 
-def text(floor: int, team: str = TEAM) -> str:
-    """Builds a subtree that differs by its floor."""
+def text(slots: int, team: str = TEAM) -> str:
+    """Builds a subtree that differs by its slots."""
     return (
         f"[team]\nname = {team}\n[service {team}-s]\nworkers = n0-w\n"
-        f"floor = {floor}\n"
+        f"slots = {slots}\n"
     )
 
 
@@ -162,8 +162,8 @@
     def test_node_waking_from_a_pause_catches_up(self):
         with cluster() as running:
             running.nodes["n2"].loop.freeze(30)
-            for floor in (2, 3):
-                revision = running.edit(TEAM, text(floor))
+            for slots in (2, 3):
+                revision = running.edit(TEAM, text(slots))
                 running.run(10)
             running.run(10 + IN_FORCE_S)
             self.assert_in_force(running, revision)
--- a/tests/test_settings/test_settings_store.py
+++ b/tests/test_settings/test_settings_store.py
@@ -27,16 +27,16 @@
 
 GOOD = text("a", {"x": "x-0, x-1", "y": "y-0"})
 CASES = {
-    "syntax": ("[team\nname", CODE.INVALID),
-    "no team": ("[service x]\nworkers = x-0\n", CODE.INVALID),
-    "unknown key": (GOOD + "colour = red\n", CODE.INVALID),
-    "other name": (text("b", {"x": "x-0", "y": "y-0"}), CODE.INVALID),
-    "section twice": (GOOD + "[service x]\nworkers = z\n", CODE.INVALID),
+    "syntax": ("[team\nname", CODE.SYNTAX),
+    "no team": ("[service x]\nworkers = x-0\n", CODE.MISSING),
+    "unknown key": (GOOD + "colour = red\n", CODE.UNKNOWN_KEY),
+    "other name": (text("b", {"x": "x-0", "y": "y-0"}), CODE.WRONG_TEAM),
+    "section twice": (GOOD + "[service x]\nworkers = z\n", CODE.SYNTAX),
     "section twice, far apart": (
         GOOD
         + "".join(f"[service s{n}]\nworkers = w\n" for n in range(100))
         + "[service x]\nworkers = z\n",
-        CODE.INVALID,
+        CODE.SYNTAX,
     ),
     "too large": (GOOD + "#" * tree.MAX_SUBTREE_BYTES, CODE.TOO_LARGE),
     "service gone": (text("a", {"x": "x-0"}), CODE.REMOVES_ALL_WORKERS),
