Doubt the age of the settings that a home starts with

Cause: a node that starts with a newly edited list of workers vouched for keys made 2 s after its start, while an ingress and the former home that had not heard of the edit still ran them. Found by argument; the test then saw one key run twice. A home now vouches only for keys made 10 s after it learned of their service or of a move, twice the time in which settings are promised everywhere. The guard for moves was 60 s, too long to apply to each start.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -136,6 +136,12 @@
         "since_ms = max(since_ms, change.ended_ms + MOVE_GUARD_MS)",
         "pass",
     ),
+    Mutant(
+        "a home that starts doubts the age of its settings",
+        "owner/homes.py",
+        "self._known_ms[service] = now_ms + MOVE_GUARD_MS",
+        "self._known_ms[service] = 0",
+    ),
     Mutant(
         "the owner checks that it is home",
         "owner/exchange.py",
--- a/packages/node/src/sardinedoor_node/owner/homes.py
+++ b/packages/node/src/sardinedoor_node/owner/homes.py
@@ -11,7 +11,7 @@
     from sardinedoor_node.settings import store
     from sardinedoor_node.util import clock
 
-MOVE_GUARD_MS = 60_000
+MOVE_GUARD_MS = 10_000
 _KEPT_CHANGES = 8
 
 
@@ -27,7 +27,8 @@
     """Homes under the settings in force, and under those before them.
 
     A key whose home changed may have run at its former home, also a while
-    after the change: nodes learn of it at different times.
+    after the change: nodes learn of it at different times. A node that has
+    just learned of a service can't tell how long ago its workers changed.
     """
 
     def __init__(self, settings_store: store.SettingsStore, time: clock.Clock):
@@ -41,7 +42,7 @@
         self._clock = time
         self._workers: dict[str, list[str]] = {}
         self._changes: dict[str, list[_Change]] = {}
-        self._cut_ms: dict[str, int] = {}
+        self._known_ms: dict[str, int] = {}
         settings_store.on_change(self._on_change)
         self._on_change()
 
@@ -69,25 +70,28 @@
             worker: The home in force.
 
         Returns:
-            Unix time in ms; 0 for always, as far as this node knows.
+            Unix time in ms.
         """
-        since_ms = self._cut_ms.get(service, 0)
+        since_ms = self._known_ms[service]
         for change in self._changes.get(service, []):
             if rendezvous.highest(name, change.workers) != worker:
                 since_ms = max(since_ms, change.ended_ms + MOVE_GUARD_MS)
         return since_ms
 
     def _on_change(self) -> None:
+        now_ms = int(self._clock.now().timestamp() * 1000)
         for service, settings in self._store.services.items():
             before = self._workers.get(service)
             self._workers[service] = settings.workers
-            if before is not None and set(before) != set(settings.workers):
-                self._remember(service, before)
+            if before is None:
+                self._known_ms[service] = now_ms + MOVE_GUARD_MS
+            elif set(before) != set(settings.workers):
+                self._remember(service, _Change(now_ms, before))
 
-    def _remember(self, service: str, before: list[str]) -> None:
-        ended_ms = int(self._clock.now().timestamp() * 1000)
+    def _remember(self, service: str, change: _Change) -> None:
         changes = self._changes.setdefault(service, [])
-        changes.append(_Change(ended_ms, before))
+        changes.append(change)
         if len(changes) > _KEPT_CHANGES:
             oldest = changes.pop(0)
-            self._cut_ms[service] = oldest.ended_ms + MOVE_GUARD_MS
+            known_ms = oldest.ended_ms + MOVE_GUARD_MS
+            self._known_ms[service] = max(self._known_ms[service], known_ms)
--- a/packages/standins/src/sardinedoor_standins/faultgrid.py
+++ b/packages/standins/src/sardinedoor_standins/faultgrid.py
@@ -19,9 +19,9 @@
 from sardinedoor_standins import memlink
 from sardinedoor_standins import virtualtime
 
-_LENGTH_S = 14.0
-_SENDS_FROM_S = 3.0
-_SENDS_UNTIL_S = 6.0
+_LENGTH_S = 28.0
+_SENDS_FROM_S = 15.0
+_SENDS_UNTIL_S = 20.0
 _EPOCH_MS = int(virtualtime.EPOCH.timestamp() * 1000)
 _RANDOM_BITS = 74
 POLICIES = (
--- a/tests/test_fleet/test_fleet_exchange.py
+++ b/tests/test_fleet/test_fleet_exchange.py
@@ -18,7 +18,8 @@
 _SERVICE_MS = 400
 _RESEND_S = 0.2
 _RESENDS = 12
-_SKEW_S = 2.2
+# A home vouches for keys made this long after its start.
+_COVERED_S = 12.5
 
 _SETTINGS = """
 [team]
@@ -61,9 +62,11 @@
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
         try:
             await self._fleet.start()
-            await asyncio.sleep(_SKEW_S)
-            await self._resend_by_key()
+            started = time.monotonic()
             await self._caller_leaves()
+            left_s = _COVERED_S - (time.monotonic() - started)
+            await asyncio.sleep(left_s)
+            await self._resend_by_key()
             await self._killer()
         finally:
             self._client.close()
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -53,7 +53,7 @@
             ingress_only=("n1",),
         )
         self.last: memfleet.Send | None = None
-        timeline.run_until(3.0)
+        timeline.run_until(20.0)
 
     @property
     def owner(self):
@@ -63,12 +63,12 @@
     def client(self):
         return self.owner._workers["n0-w0"].client
 
-    def send(self, at: float = 4.0, body: bytes = b"pay", **options) -> None:
+    def send(self, at: float = 24.0, body: bytes = b"pay", **options) -> None:
         send_id = f"{at}-{body[:8].decode()}"
         self.last = memfleet.Send(send_id, body, False, **options)
         self.fleet.submit(at, "n1", self.last)
 
-    def key(self, at: float = 4.0) -> str:
+    def key(self, at: float = 24.0) -> str:
         return faultgrid.make_key(random.Random(1), at)
 
     def lose(self, cls: type) -> None:
@@ -83,8 +83,8 @@
 
 
 def _answered_before(bench: _Bench) -> None:
-    bench.send(4.0, key=bench.key())
-    bench.send(5.0, key=bench.key())
+    bench.send(24.0, key=bench.key())
+    bench.send(25.0, key=bench.key())
 
 
 def _no_target(bench: _Bench) -> None:
@@ -126,7 +126,7 @@
 
 def _connect_failed(bench: _Bench) -> None:
     target = bench.fleet.targets["n0-w0"]
-    bench.timeline.call_at(3.99, target.crash)
+    bench.timeline.call_at(23.99, target.crash)
     bench.send()
 
 
@@ -140,7 +140,7 @@
 def _quarantined(bench: _Bench) -> None:
     bench.faults.crash_on = b"pay"
     for number in range(3):
-        bench.send(4.0 + number)
+        bench.send(24.0 + number)
 
 
 def _home_unreachable(bench: _Bench) -> None:
@@ -149,8 +149,8 @@
 
 
 def _key_reused(bench: _Bench) -> None:
-    bench.send(4.0, key=bench.key())
-    bench.send(5.0, b"other", key=bench.key())
+    bench.send(24.0, key=bench.key())
+    bench.send(25.0, b"other", key=bench.key())
 
 
 def _key_invalid(bench: _Bench) -> None:
@@ -212,8 +212,8 @@
 
 def _answer_not_kept(bench: _Bench) -> None:
     body = b"x" * (ledger.MAX_KEPT_BODY_BYTES + 1)
-    bench.send(4.0, body, key=bench.key())
-    bench.send(5.0, body, key=bench.key())
+    bench.send(24.0, body, key=bench.key())
+    bench.send(25.0, body, key=bench.key())
 
 
 def _queue_full(bench: _Bench) -> None:
@@ -261,7 +261,7 @@
             with virtualtime.Timeline().closing() as timeline:
                 bench = _Bench(timeline)
                 prepare(bench)
-                timeline.run_until(12.0)
+                timeline.run_until(32.0)
                 self.assertEqual(code, bench.last.outcome.code)
                 self._compare(code, bench)
 
--- a/tests/test_owner/test_owner_keys.py
+++ b/tests/test_owner/test_owner_keys.py
@@ -43,7 +43,7 @@
         self.sends.append(send)
         self.fleet.submit(at, node, send)
 
-    def run(self, until: float = 20.0) -> list[codes.Code]:
+    def run(self, until: float = 40.0) -> list[codes.Code]:
         self.timeline.run_until(until)
         return [s.outcome.code for s in self.sends]
 
@@ -54,14 +54,14 @@
         self.timeline = virtualtime.Timeline()
         self.addCleanup(self.timeline.close)
 
-    def _bench(self, key_time_s: float = 5.0) -> _KeyBench:
+    def _bench(self, key_time_s: float = 25.0) -> _KeyBench:
         return _KeyBench(self.timeline, key_time_s)
 
     def test_a_resend_gets_the_first_answer(self):
         bench = self._bench()
-        bench.send(5.0, "n0")
-        bench.send(5.003, "n1")
-        bench.send(9.0, "n2")
+        bench.send(25.0, "n0")
+        bench.send(25.003, "n1")
+        bench.send(29.0, "n2")
         self.assertEqual(
             [_C.ANSWERED, _C.ANSWERED_BEFORE, _C.ANSWERED_BEFORE], bench.run()
         )
@@ -70,31 +70,31 @@
 
     def test_another_request_with_the_key_is_refused(self):
         bench = self._bench()
-        bench.send(5.0)
-        bench.send(6.0, body=b"other")
+        bench.send(25.0)
+        bench.send(26.0, body=b"other")
         self.assertEqual([_C.ANSWERED, _C.KEY_REUSED], bench.run())
         self.assertEqual(1, len(bench.fleet.runs))
 
     def test_a_resend_after_the_homes_restart_is_unknown(self):
         bench = self._bench()
-        bench.send(5.0)
-        self.timeline.call_at(6.0, lambda: bench.fleet.kill(bench.home, 0.1))
-        bench.send(8.0, "n1")
-        bench.send(8.1, "n2")
+        bench.send(25.0)
+        self.timeline.call_at(26.0, lambda: bench.fleet.kill(bench.home, 0.1))
+        bench.send(28.0, "n1")
+        bench.send(28.1, "n2")
         self.assertEqual(_C.KEY_NOT_COVERED, bench.run()[-1])
         self.assertEqual(1, len(bench.fleet.runs))
 
     def test_a_key_made_after_the_restart_runs(self):
-        bench = self._bench(9.0)
-        self.timeline.call_at(6.0, lambda: bench.fleet.kill(bench.home, 0.1))
-        bench.send(9.0, bench.home)
-        self.assertEqual([_C.ANSWERED], bench.run())
+        bench = self._bench(40.0)
+        self.timeline.call_at(26.0, lambda: bench.fleet.kill(bench.home, 0.1))
+        bench.send(40.0, bench.home)
+        self.assertEqual([_C.ANSWERED], bench.run(60.0))
 
     def test_a_key_from_a_fast_clock_before_the_restart_is_unknown(self):
-        bench = self._bench(6.5)
-        bench.send(5.0, bench.home)
-        self.timeline.call_at(6.0, lambda: bench.fleet.kill(bench.home, 0.1))
-        bench.send(8.0, bench.home)
+        bench = self._bench(26.5)
+        bench.send(25.0, bench.home)
+        self.timeline.call_at(26.0, lambda: bench.fleet.kill(bench.home, 0.1))
+        bench.send(28.0, bench.home)
         self.assertEqual([_C.ANSWERED, _C.KEY_NOT_COVERED], bench.run())
         self.assertEqual(1, len(bench.fleet.runs))
 
@@ -107,20 +107,20 @@
             members = bench.fleet.nodes[ingress].members
             members.mark_leaving(home, "test")
 
-        self.timeline.call_at(4.0, lose)
-        bench.send(5.0, ingress)
+        self.timeline.call_at(24.0, lose)
+        bench.send(25.0, ingress)
         self.assertEqual([_C.HOME_UNREACHABLE], bench.run())
         self.assertEqual([], bench.fleet.runs)
 
     def test_an_untimed_key_is_vouched_for_after_the_window(self):
         bench = self._bench()
         bench.key = "order-17"
-        bench.send(5.0)
-        bench.send(_WINDOW_S + 5.0)
-        bench.send(_WINDOW_S + 6.0, "n1")
+        bench.send(25.0)
+        bench.send(_WINDOW_S + 25.0)
+        bench.send(_WINDOW_S + 26.0, "n1")
         self.assertEqual(
             [_C.KEY_NOT_COVERED, _C.ANSWERED, _C.ANSWERED_BEFORE],
-            bench.run(_WINDOW_S + 20.0),
+            bench.run(_WINDOW_S + 40.0),
         )
         self.assertEqual(1, len(bench.fleet.runs))
 
@@ -140,17 +140,39 @@
     def test_a_key_that_moved_is_not_vouched_for(self):
         bench = self._bench()
         home = bench.home
-        bench.send(5.0)
+        bench.send(25.0)
         left = [w for w in bench.fleet.targets if not w.startswith(home)]
         edit = memfleet.make_subtree(2, left)
-        self.timeline.call_at(6.0, lambda: bench.fleet.edit(edit, 0.0))
-        bench.send(8.0, "n1")
+        self.timeline.call_at(26.0, lambda: bench.fleet.edit(edit, 0.0))
+        bench.send(28.0, "n1")
         self.assertEqual([_C.ANSWERED, _C.KEY_NOT_COVERED], bench.run())
         self.assertEqual(1, len(bench.fleet.runs))
 
+    def test_a_home_that_starts_just_after_an_edit(self):
+        """It can't tell how old its settings are, and others have older."""
+        bench = self._bench(48.5)
+        home = bench.home
+        left = [w for w in bench.fleet.targets if not w.startswith(home)]
+        before = memfleet.make_subtree(2, left)
+        after = memfleet.make_subtree(3, list(bench.fleet.targets))
+        self.timeline.call_at(1.0, lambda: bench.fleet.edit(before, 0.0))
+
+        def restart():
+            bench.fleet.subtree = after
+            bench.fleet.kill(home, 0.05)
+
+        stale, other = (n for n in bench.fleet.nodes if n != home)
+        self.timeline.call_at(46.0, restart)
+        bench.send(48.5, stale)
+        self.timeline.call_at(49.0, lambda: bench.fleet.edit(after, 0.0))
+        bench.send(50.0, other)
+        seen = bench.run(60.0)
+        self.assertEqual([_C.ANSWERED, _C.KEY_NOT_COVERED], seen)
+        self.assertEqual(1, len(bench.fleet.runs))
+
     def test_a_former_home_refuses_a_stale_ingress(self):
         """Long after an edit, one ingress still has not heard of it."""
-        bench = self._bench(100.0)
+        bench = self._bench(120.0)
         home = bench.home
         ingress = next(n for n in bench.fleet.nodes if n != home)
         other = next(n for n in bench.fleet.nodes if n not in (home, ingress))
@@ -161,10 +183,10 @@
                 node = bench.fleet.nodes[name]
                 node.loop.deliver(lambda n=node: n.store.offer(edit))
 
-        self.timeline.call_at(6.0, spread)
-        bench.send(100.0, other)
-        bench.send(101.0, ingress)
-        self.assertEqual([_C.ANSWERED, _C.NOT_HOME], bench.run(120.0))
+        self.timeline.call_at(26.0, spread)
+        bench.send(120.0, other)
+        bench.send(121.0, ingress)
+        self.assertEqual([_C.ANSWERED, _C.NOT_HOME], bench.run(140.0))
         self.assertEqual(1, len(bench.fleet.runs))
 
 
