Take a reply that came during a pause past the deadline

A process that wakes late finds both the reply and its timer due; the timer won, and the request ended as unknown though its answer was there.

--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -181,7 +181,9 @@
             async with asyncio.timeout(timeout_s):
                 return await self._inbox.get()
         except TimeoutError:
-            return None
+            pass
+        # After a pause of the process, both may have come at once.
+        return None if self._inbox.empty() else self._inbox.get_nowait()
 
     def _result(self, message: wire.Reply | wire.Refusal) -> Forwarded:
         if isinstance(message, wire.Refusal):
--- a/tests/test_owner/test_owner_exchange.py
+++ b/tests/test_owner/test_owner_exchange.py
@@ -152,6 +152,7 @@
             ("freeze ingress", wire.Held, 0.001, 0.7, _C.HOLD_TIMEOUT, 0),
             ("freeze ingress", wire.Held, 0.001, 0.3, _C.ANSWERED, 1),
             ("freeze ingress", wire.Go, 0.001, 0.7, _C.ANSWERED, 1),
+            ("freeze ingress", wire.Go, 0.001, 2.5, _C.ANSWERED, 1),
             ("freeze owner", wire.Offer, 0.001, 0.7, _C.HOLD_TIMEOUT, 0),
             ("freeze owner", wire.Go, 0.001, 0.3, _C.ANSWERED, 1),
             ("freeze owner", wire.Go, 0.001, 0.7, _C.TICKET_LAPSED, 0),
@@ -188,3 +189,14 @@
             bench.run()
             self.assertEqual(1, len(fleet.runs))
             self.assertEqual(_C.REPLY_TIMEOUT, send.outcome.code)
+
+    def test_attached_request_doubled_to_a_later_incarnation(self):
+        with virtualtime.Timeline().closing() as timeline:
+            bench = _Bench(timeline, holding.NeverHold(), nodes=2)
+            bench.fleet.network.script = lambda message: (
+                [_D, 0.1] if isinstance(message, wire.Offer) else None
+            )
+            timeline.call_at(3.02, lambda: bench.fleet.kill("n0", 0.02))
+            bench.send(node="n1")
+            bench.run()
+            self.assertEqual(1, len(bench.fleet.runs))
