--- /dev/null
+++ b/packages/cli/src/sardinedoor_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator client."""
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -17,6 +17,8 @@
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import listener
+from sardinedoor_node.ingress import tls
+from sardinedoor_node.link import curve
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
@@ -69,7 +71,9 @@
         )
         self._store = store.SettingsStore()
         self._members = table.MemberTable(self._own, self._clock)
-        self._transport = zeromq.ZeromqTransport(file.node.name, self._metrics)
+        self._transport = zeromq.ZeromqTransport(
+            file.node.name, self._metrics, curve.from_settings(file.node)
+        )
         rng = random.Random()
         self._membership = service.Membership(
             self._members,
@@ -129,12 +133,18 @@
             self._metrics,
             self._clock,
         )
+        self._tls = None
+        if file.node.tls_certificate:
+            self._tls = tls.TlsContext(
+                tls.file_source(file.path), self._metrics, self._clock
+            )
         self._ingress = listener.Ingress(
             self._store,
             self._forwarder,
             self._metrics,
             self._clock,
             file.node.connections,
+            self._tls,
         )
         self._drainer = drain.Drain(
             self._members,
@@ -164,6 +174,8 @@
         self._transport.bind(node.link)
         self._membership.start()
         self._members.on_change(self._drainer.on_member)
+        if self._tls is not None:
+            self._tasks.spawn(self._tls.watch(), "certificate")
         self._listen_admin(node.admin)
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
--- a/packages/node/src/sardinedoor_node/ingress/certificates.py
+++ b/packages/node/src/sardinedoor_node/ingress/certificates.py
@@ -42,8 +42,10 @@
 
 
 def _not_after(der: bytes) -> datetime.datetime:
-    _, certificate, _ = _element(der, 0)
-    _, signed, _ = _element(certificate, 0)
+    outer, certificate, _ = _element(der, 0)
+    inner, signed, _ = _element(certificate, 0)
+    if (outer, inner) != (_SEQUENCE, _SEQUENCE):
+        raise ValueError("not a certificate")
     offset = 0
     tag, _, after = _element(signed, offset)
     if tag == _VERSION:
--- a/packages/node/src/sardinedoor_node/ingress/tls.py
+++ b/packages/node/src/sardinedoor_node/ingress/tls.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.ingress import certificates
+from sardinedoor_node.settings import nodefile
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +77,19 @@
     return context
 
 
+def file_source(path: str) -> Callable[[], Source]:
+    """Returns a source that reads a node's settings file again each time."""
+
+    def read() -> Source:
+        loaded = nodefile.load(pathlib.Path(path))
+        if loaded.is_err():
+            raise ValueError("the settings file has faults")
+        node = loaded.unwrap().node
+        return Source(node.tls_certificate, node.tls_key)
+
+    return read
+
+
 class TlsContext:
     """The context for new connections; open ones keep theirs."""
 
--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -54,6 +54,10 @@
             self._check()
         return True
 
+    def is_writable(self) -> bool:
+        """Tells whether a message can be sent now."""
+        return bool(self._socket.getsockopt(zmq.EVENTS) & zmq.POLLOUT)
+
     async def writable(self, timeout_s: float) -> bool:
         """Waits until a message can be sent.
 
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -4,11 +4,13 @@
 
 import dataclasses
 import logging
+import time
 from typing import TYPE_CHECKING
 
 import zmq
 
 from sardinedoor_node import link
+from sardinedoor_node.link import curve
 from sardinedoor_node.link import dispatch
 from sardinedoor_node.link import local
 from sardinedoor_node.link import port
@@ -24,6 +26,8 @@
 HEARTBEAT_INTERVAL_MS = 300
 HEARTBEAT_TIMEOUT_MS = 900
 CLOSE_LINGER_MS = 1000
+# A link that refuses for this long is tried with another accepted key.
+KEY_TRIAL_S = 1.0
 _QUEUE_FRAMES = 1000
 _KEEPALIVE_S = 30
 _RECONNECT_MAX_MS = 1000
@@ -52,10 +56,19 @@
 
     def __init__(self, dealer: port.Port):
         self.port = dealer
+        self._taken = time.monotonic()
+
+    @property
+    def refusing_s(self) -> float:
+        """Time since the link last took a message or was made, in s."""
+        return time.monotonic() - self._taken
 
     def send(self, message: base.Message) -> bool:
         """See base class."""
-        return self.port.send([frames.encode(message)])
+        sent = self.port.send([frames.encode(message)])
+        if sent:
+            self._taken = time.monotonic()
+        return sent
 
     async def ready(self, timeout_s: float) -> bool:
         """See base class."""
@@ -79,18 +92,28 @@
     address: str
     channel: DealerChannel
     task: object
+    key_number: int
 
 
 class ZeromqTransport(link.Transport):
     """Links of one node."""
 
-    def __init__(self, own_name: str, counters: metrics.Metrics):
+    def __init__(
+        self,
+        own_name: str,
+        counters: metrics.Metrics,
+        keys: curve.LinkKeys | None = None,
+    ):
         """Prepares the transport; nothing is bound yet.
 
         Args:
             own_name: Name of the node, to which it has a local channel.
-            counters: Where dropped frames are counted.
+            counters: Where dropped frames and refused keys are counted.
+            keys: Keys of the links; None leaves them open.
         """
+        self._keys = keys
+        self._metrics = counters
+        self._key_check: curve.KeyCheck | None = None
         self._context = zmq.Context()
         self._dispatcher = dispatch.Dispatcher(counters)
         self._local = local.LocalChannel(self._dispatcher)
@@ -117,6 +140,12 @@
         router = self._context.socket(zmq.ROUTER)
         _configure(router)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        if self._keys is not None:
+            self._key_check = curve.KeyCheck(
+                self._context, self._keys, self._metrics
+            )
+            self._tasks.spawn(self._key_check.run(), "link-keys")
+            self._keys.secure_server(router)
         router.bind(f"tcp://{address}")
         self._router = port.Port(router)
         self._tasks.spawn(self._serve(self._router), "link-router")
@@ -137,8 +166,11 @@
         self, name: str, address: str, heartbeat: bool
     ) -> link.Channel:
         peer = self._peers.get(name)
+        key_number = 0
         if peer is not None and peer.address == address:
-            return peer.channel
+            if not self._has_wrong_key(peer):
+                return peer.channel
+            key_number = (peer.key_number + 1) % len(self._keys.accepted)
         if peer is not None:
             self.disconnect(name)
         dealer = self._context.socket(zmq.DEALER)
@@ -146,12 +178,23 @@
         if heartbeat:
             _configure_heartbeat(dealer)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
+        if self._keys is not None:
+            key = self._keys.accepted[key_number]
+            self._keys.secure_client(dealer, key)
         dealer.connect(f"tcp://{address}")
         channel = DealerChannel(port.Port(dealer))
         task = self._tasks.spawn(self._receive(channel), f"link-{name}")
-        self._peers[name] = _Peer(address, channel, task)
+        self._peers[name] = _Peer(address, channel, task, key_number)
         return channel
 
+    def _has_wrong_key(self, peer: _Peer) -> bool:
+        """Guesses, from its silence, that a peer uses another key."""
+        if self._keys is None or len(self._keys.accepted) < 2:
+            return False
+        return peer.channel.refusing_s > KEY_TRIAL_S and not (
+            peer.channel.port.is_writable()
+        )
+
     def disconnect(self, name: str) -> None:
         """See base class."""
         peer = self._peers.pop(name, None)
@@ -187,4 +230,6 @@
         self._peers.clear()
         if self._router is not None:
             self._router.close(CLOSE_LINGER_MS)
+        if self._key_check is not None:
+            self._key_check.close()
         self._context.term()
--- a/packages/node/src/sardinedoor_node/settings/nodefile.py
+++ b/packages/node/src/sardinedoor_node/settings/nodefile.py
@@ -7,6 +7,7 @@
 
 import result
 
+from sardinedoor_node.link import curve
 from sardinedoor_schema import ini
 from sardinedoor_schema.generated import settings
 
@@ -19,6 +20,7 @@
 
     node: settings.NodeSettings
     workers: dict[str, settings.WorkerSettings]
+    path: str = ""
 
 
 def parse(file: str, text: str) -> result.Result[NodeFile, list[ini.Fault]]:
@@ -43,9 +45,20 @@
         worker = reader.convert(section, settings.WorkerSettings)
         if worker is not None:
             workers[section.removeprefix(_WORKER_PREFIX)] = worker
+    if node is not None:
+        _check_keys(reader, node)
     if reader.faults or node is None:
         return result.Err(reader.faults)
-    return result.Ok(NodeFile(node, workers))
+    return result.Ok(NodeFile(node, workers, file))
+
+
+def _check_keys(reader: ini.Reader, node: settings.NodeSettings) -> None:
+    try:
+        curve.from_settings(node)
+    except ValueError as e:
+        reader.fault("node", "link_secret_key", str(e))
+    if bool(node.tls_certificate) != bool(node.tls_key):
+        reader.fault("node", "tls_key", "certificate and key go together")
 
 
 def load(
