Add the operators' client, explain and drain by an edit

Cause: operators could see the fleet only by reading JSON, and a worker could be taken out only by stopping its node. check tells all faults of a settings tree at once, offline; status and explain ask a node's admin listener; drain takes a worker out of its service's list in the settings tree; load runs the demo with a plot.

Weighed for drain: a call to a node's admin listener (writes state outside the settings, lost at a restart, one node at a time), a key 'drained' beside 'workers' (two lists that can contradict each other, and floors that count both), and the list of workers itself, which is chosen: what an edit takes out gets no new work from any node, and its owner refuses offers as not run (2038) even from an ingress with an older revision. No edit goes below the floor.

--- /dev/null
+++ b/packages/cli/src/sardinedoor_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client."""
--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sardinedoor_node.membership import table
+    from sardinedoor_node.owner import workers
     from sardinedoor_node.platform import service
     from sardinedoor_node.settings import store
 
@@ -35,6 +38,21 @@
     ejected: bool
 
 
+@dataclasses.dataclass(slots=True)
+class WorkerStatus:
+    """One of the node's own workers.
+
+    Attributes:
+        drained: Whether the settings no longer name it.
+    """
+
+    worker: str
+    service: str
+    in_flight: int
+    slots: int
+    drained: bool
+
+
 @dataclasses.dataclass(slots=True)
 class TeamStatus:
     """Settings of one team in force on this node.
@@ -82,6 +100,7 @@
     teams: list[TeamStatus]
     platform: PlatformStatus
     targets: list[TargetStatus]
+    workers: list[WorkerStatus]
 
 
 def collect(
@@ -90,6 +109,7 @@
     members: table.MemberTable,
     settings: store.SettingsStore,
     reads: service.PlatformReads,
+    local: Iterable[workers.LocalWorker],
 ) -> Status:
     """Collects the status of a node."""
     teams = sorted(set(settings.subtrees) | set(settings.refused))
@@ -101,6 +121,10 @@
         [_team(t, settings, reads) for t in teams],
         _platform(reads),
         _targets(members),
+        [
+            WorkerStatus(w.name, w.service, w.in_flight, w.slots, w.drained)
+            for w in local
+        ],
     )
 
 
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -11,6 +11,7 @@
 from sardinedoor_node import boot
 from sardinedoor_node import drain
 from sardinedoor_node import metrics
+from sardinedoor_node.admin import explain
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
 from sardinedoor_node.ingress import exchanges
@@ -18,6 +19,7 @@
 from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import listener
 from sardinedoor_node.link import zeromq
+from sardinedoor_node.membership import configured
 from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
@@ -102,6 +104,9 @@
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
+        self._configured = configured.ConfiguredWorkers(self._store)
+        self._configured.follow(self._workers.values())
+        self._members.narrow_by(self._configured.narrow)
         key_homes = homes.Homes(self._store, self._clock)
         notifier = notices.Notifier(self._members, self._transport, self._clock)
         self._suspects = suspects.Suspects(
@@ -181,7 +186,11 @@
     def _listen_admin(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         application = server.make_application(
-            self._metrics.registry, self._status
+            self._metrics.registry,
+            self._status,
+            explain.Explainer(
+                self._store, self._members, self._configured
+            ).explain,
         )
         application.listen(int(port), address=host.strip("[]"))
 
@@ -192,6 +201,7 @@
             self._members,
             self._store,
             self._platform,
+            self._workers.values(),
         )
 
     async def _drain(self) -> None:
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
@@ -14,7 +15,6 @@
 from sardinedoor_node.util import clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Iterable
 
     from sardinedoor_schema.generated import platform
@@ -23,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 Target = targets.Target
+Narrow = Callable[[str, list[Target]], list[Target]]
 
 TOMBSTONE_S = 900.0
 UNHEARD_S = 900.0
@@ -106,6 +107,7 @@
         self._buckets = [0] * records.BUCKETS
         self._news: list[Callable[[str], None]] = []
         self._listeners: list[Callable[[Entry], None]] = []
+        self._narrow: Narrow = lambda service, found: found
         self.stale = False
         self.heard(own)
 
@@ -148,7 +150,11 @@
 
     def targets(self, service: str) -> list[Target]:
         """Lists the workers of a service that usable members own."""
-        return self._index.targets(service)
+        return self._narrow(service, self._index.targets(service))
+
+    def narrow_by(self, narrow: Narrow) -> None:
+        """Sets what narrows the targets of each service."""
+        self._narrow = narrow
 
     def record(self, name: str) -> wire.MemberState | None:
         """Returns what to tell others of a member, None for nothing."""
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -196,6 +196,8 @@
     async def _reserve(
         self, exchange: Exchange, worker: workers.LocalWorker
     ) -> _Outcome:
+        if worker.drained:
+            return exchange.refuse(codes.Code.WORKER_DRAINED, worker.load())
         if not worker.reserve():
             return exchange.refuse(codes.Code.QUEUE_FULL, worker.load())
         try:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -15,7 +15,12 @@
 
 
 class LocalWorker:
-    """One worker: its connections, and the requests it runs."""
+    """One worker: its connections, and the requests it runs.
+
+    Attributes:
+        drained: Whether the settings no longer name it, so that it gets no
+            new work.
+    """
 
     def __init__(
         self,
@@ -35,6 +40,7 @@
         self.client = client or target.TargetClient(worker.address)
         self.slots = DEFAULT_SLOTS
         self.in_flight = 0
+        self.drained = False
 
     def reserve(self) -> bool:
         """Takes a slot; False if all are in use."""
--- a/packages/node/src/sardinedoor_node/settings/tree.py
+++ b/packages/node/src/sardinedoor_node/settings/tree.py
@@ -122,7 +122,7 @@
             faults.FaultCode.MISSING,
         )
     for name, route in subtree.routes.items():
-        if route.service not in subtree.services:
+        if _SERVICE_PREFIX + route.service not in seen:
             yield ini.Fault(
                 subtree.team,
                 _ROUTE_PREFIX + name,
--- a/packages/standins/src/sardinedoor_standins/demo.py
+++ b/packages/standins/src/sardinedoor_standins/demo.py
@@ -6,6 +6,7 @@
 import dataclasses
 import pathlib
 import signal
+import sys
 import tempfile
 import time
 from typing import Annotated
@@ -30,6 +31,14 @@
 EXIT_INTERRUPTED = 130
 
 
+@dataclasses.dataclass(slots=True)
+class Event:
+    """Something done to the fleet, in s of the monotonic clock."""
+
+    at: float
+    text: str
+
+
 class Demo:
     """One run of the demo."""
 
@@ -54,6 +63,12 @@
         self._ejected: set[str] = set()
         self._stopped = ""
         self._exit_code = -1
+        self.events: list[Event] = []
+
+    @property
+    def samples(self) -> list[load.Sample]:
+        """All requests and their fates."""
+        return self._generator.samples
 
     async def run(self) -> report.Report:
         """Runs the story and returns what was measured."""
@@ -134,14 +149,18 @@
     async def _turn_gray(self) -> None:
         worker = self._workers(self._deployment.layout.gray_service)[0]
         self._gray = worker.name
-        _say(f"{worker.name} turns gray: probes pass, real work fails")
+        self._note(f"{worker.name} turns gray: probes pass, real work fails")
         await self._fleet.behave(worker, target.Behaviour(error_share=1.0))
         self._gray_since = time.monotonic()
 
+    def _note(self, text: str) -> None:
+        self.events.append(Event(time.monotonic(), text))
+        _say(text)
+
     async def _stop_node(self) -> None:
         node = self._fleet.plan.nodes[-1]
         self._stopped = node.name
-        _say(f"{node.name} is stopped as planned")
+        self._note(f"{node.name} is stopped as planned")
         await self._fleet.publish(leaving=(node.name,))
         running = asyncio.create_task(
             self._generator.run(self._flows(), STOP_S)
@@ -179,10 +198,12 @@
 
 
 def _say(text: str) -> None:
-    print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
+    stamp = time.strftime("%H:%M:%S")
+    print(f"[{stamp}] {text}", file=sys.stderr, flush=True)
 
 
-async def _interruptible(demo: Demo) -> report.Report:
+async def interruptible(demo: Demo) -> report.Report:
+    """Runs a demo so that signals end it, and all that it started."""
     task = asyncio.current_task()
     assert task is not None
     loop = asyncio.get_running_loop()
@@ -207,7 +228,7 @@
     with tempfile.TemporaryDirectory() as folder:
         demo = Demo(chosen, pathlib.Path(folder), seed)
         try:
-            result = asyncio.run(_interruptible(demo))
+            result = asyncio.run(interruptible(demo))
         except asyncio.CancelledError as e:
             print("interrupted; everything was stopped")
             raise typer.Exit(EXIT_INTERRUPTED) from e
--- a/packages/standins/src/sardinedoor_standins/scenario/expectations.py
+++ b/packages/standins/src/sardinedoor_standins/scenario/expectations.py
@@ -71,6 +71,26 @@
             _require(not late, f"{worker.name} got {len(late)} requests late")
 
 
+@dataclasses.dataclass(slots=True)
+class Drained(scenario.Step):
+    """A worker gets no new work after the edit that takes it out."""
+
+    worker: str
+    limit_s: float
+
+    async def run(self, fleet_bench: bench.Bench) -> None:
+        """See base class."""
+        last = max(fleet_bench.edited_at.values()) + self.limit_s
+        deadline = bench.Deadline(last + verdict.OUT_OF_ROTATION_S)
+        while not await deadline.passed():
+            pass
+        worker = fleet_bench.worker(self.worker)
+        log = await fleet_bench.fleet.runs(worker)
+        late = [r for r in log if r.started > last]
+        _require(bool(log), f"{self.worker} never got work")
+        _require(not late, f"{self.worker} got {len(late)} requests late")
+
+
 @dataclasses.dataclass(slots=True)
 class Exits(scenario.Step):
     """A stopped node had an exit code."""
@@ -277,6 +297,7 @@
 STEPS: dict[str, type[scenario.Step]] = {
     "detected": Detected,
     "quiet": Quiet,
+    "drained": Drained,
     "exits": Exits,
     "dead": Dead,
     "alive": Alive,
--- /dev/null
+++ b/tests/test_cli/test_cli_offline.py
@@ -0,0 +1,116 @@
+"""Commands of the client that need no node."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+
+import testtools
+from typer import testing
+
+from sardinedoor_cli import exits
+from sardinedoor_cli import main
+from sardinedoor_schema import faults
+
+_GOOD = """
+[team]
+name = {team}
+[service {team}-desk]
+workers =
+    {team}-0, {team}-1,
+    {team}-2
+floor = 2
+[route {team}]
+service = {team}-desk
+path = /{team}
+visibility = public
+"""
+
+
+def run(*arguments: str):
+    """Runs the client in this process."""
+    return testing.CliRunner().invoke(main.app, list(arguments))
+
+
+class _Tree(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        for team in ("counters", "billing"):
+            self.write(team, _GOOD.format(team=team))
+
+    def write(self, team: str, text: str) -> None:
+        (self.folder / f"{team}.ini").write_text(text)
+
+
+class CheckTest(_Tree):
+    def test_valid_tree(self):
+        done = run("check", str(self.folder))
+        self.assertEqual(exits.Exit.FINE, done.exit_code)
+        self.assertIn("2 teams, 2 services, 2 routes", done.output)
+
+    def test_all_faults_of_all_files_at_once(self):
+        text = _GOOD.format(team="billing")
+        self.write("billing", text.replace("floor = 2", "floor = 9\nx = 1"))
+        self.write("counters", "[team\n")
+        (self.folder / "odd.ini").write_bytes(b"\xff\xfe")
+        done = run("check", str(self.folder), "--json")
+        self.assertEqual(exits.Exit.NEGATIVE, done.exit_code)
+        found = json.loads(done.stdout)["faults"]
+        by_file = {
+            (pathlib.Path(f["file"]).name, f.get("code", 5001)) for f in found
+        }
+        code = faults.FaultCode
+        self.assertEqual(
+            {
+                ("billing.ini", code.UNKNOWN_KEY),
+                ("counters.ini", code.SYNTAX),
+                ("odd.ini", code.UNREADABLE),
+            },
+            by_file,
+        )
+
+    def test_names_used_by_two_teams(self):
+        text = _GOOD.format(team="billing")
+        self.write(
+            "counters", text.replace("name = billing", "name = counters")
+        )
+        done = run("check", str(self.folder))
+        self.assertEqual(exits.Exit.NEGATIVE, done.exit_code)
+        self.assertIn("(5003)", done.output)
+        self.assertIn("(5004)", done.output)
+
+    def test_missing_or_empty_folder(self):
+        for name in ("none", ""):
+            empty = self.folder / "empty"
+            empty.mkdir(exist_ok=True)
+            done = run("check", str(empty / name))
+            self.assertEqual(exits.Exit.NEGATIVE, done.exit_code)
+            self.assertIn("(5006)", done.output)
+
+
+class DrainTest(_Tree):
+    def test_writes_only_when_told_and_keeps_the_rest(self):
+        path = self.folder / "billing.ini"
+        before = path.read_text()
+        arguments = ("drain", "billing-1", "--tree", str(self.folder))
+        self.assertEqual(exits.Exit.FINE, run(*arguments).exit_code)
+        self.assertEqual(before, path.read_text())
+        self.assertEqual(exits.Exit.FINE, run(*arguments, "--write").exit_code)
+        after = path.read_text()
+        self.assertNotIn("billing-1", after)
+        self.assertIn("billing-0, billing-2", after)
+        self.assertEqual(before.split("floor")[1], after.split("floor")[1])
+        self.assertEqual(0, run("check", str(self.folder)).exit_code)
+
+    def test_refusals(self):
+        tree = ("--tree", str(self.folder), "--write")
+        self.assertEqual(0, run("drain", "billing-1", *tree).exit_code)
+        rows = (("billing-0", "its floor is 2"), ("other-9", "no service"))
+        for worker, reason in rows:
+            done = run("drain", worker, *tree)
+            self.assertEqual(exits.Exit.NEGATIVE, done.exit_code)
+            self.assertIn(reason, done.output)
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -102,6 +102,11 @@
     bench.send()
 
 
+def _worker_drained(bench: _Bench) -> None:
+    bench.owner._workers["n0-w0"].drained = True
+    bench.send()
+
+
 def _deadline_expired(bench: _Bench) -> None:
     bench.send(timeout_s=0.0)
 
@@ -228,6 +233,7 @@
     _C.NO_TARGET: _no_target,
     _C.NODE_LEAVING: _node_leaving,
     _C.NOT_OWNER: _not_owner,
+    _C.WORKER_DRAINED: _worker_drained,
     _C.QUEUE_FULL: _queue_full,
     _C.DEADLINE_EXPIRED: _deadline_expired,
     _C.TICKET_LAPSED: _ticket_lapsed,
