--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -199,6 +199,8 @@
     async def _reserve(
         self, exchange: Exchange, worker: workers.LocalWorker
     ) -> _Outcome:
+        if worker.drained:
+            return exchange.refuse(codes.Code.WORKER_DRAINED, worker.load())
         waiter = await worker.admit(
             exchange.offer, exchange.deadline, self._clock
         )
