--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -88,6 +88,7 @@
             self._members,
             self._store,
             self._membership.pinger,
+            lambda: self._membership.sync.serving,
             self._clock,
             rng,
             self._tasks,
