Refuse to send on a closed link, and keep watching after a failure

A channel that was closed while another task held it raised, which ended the task that watched a member; the member then never left the table (seen in the scenarios planned_stop and owner_killed). The stand-in fleet names seeds, so that nodes restart while the platform is down (platform_outage).

--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -43,9 +43,11 @@
             parts: The parts.
 
         Returns:
-            False if the peer isn't connected or its queue is full; then
-            nothing was sent.
+            False if the peer isn't connected, its queue is full or the port
+            is closed; then nothing was sent.
         """
+        if self._socket.closed:
+            return False
         try:
             self._socket.send_multipart(parts, zmq.DONTWAIT)
         except zmq.ZMQError:
--- a/packages/node/src/sardinedoor_node/membership/prober.py
+++ b/packages/node/src/sardinedoor_node/membership/prober.py
@@ -84,6 +84,9 @@
 
     def _follow_rings(self) -> None:
         wanted = set(self._near.watched())
+        for name, task in list(self._watches.items()):
+            if task.done():
+                del self._watches[name]
         for name in set(self._watches) - wanted:
             self._watches.pop(name).cancel()
             self._near.reopen(name)
--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -23,6 +23,7 @@
 START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
+_SEEDS = 3
 _STATUS_TIMEOUT_S = 0.5
 _RELAY = "relay"
 
@@ -198,6 +199,7 @@
             f"link_advertised = {node.advertised}",
             f"admin = {node.admin}",
             f"platform = {self.platform_address}",
+            f"seeds = {', '.join(self._seeds(node))}",
         ]
         for worker in node.workers:
             lines += [
@@ -207,6 +209,11 @@
             ]
         return "\n".join(lines) + "\n"
 
+    def _seeds(self, node: NodePlan) -> list[str]:
+        """Names peers to ask while the platform is down."""
+        others = [n.advertised for n in self.plan.nodes if n is not node]
+        return others[:_SEEDS]
+
     def _spawn(self, name: str, module: str, arguments: list[str]) -> None:
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
