--- a/packages/node/src/sardinedoor_node/drain.py
+++ b/packages/node/src/sardinedoor_node/drain.py
@@ -18,7 +18,6 @@
 POLL_S = 0.02
 # Peers that were told nothing learn it from a refusal in this time.
 NOTICE_S = 0.5
-WATCH_INTERVAL_S = 0.2
 
 
 class Drain:
@@ -47,19 +46,16 @@
         self._announce = announce
         self._clock = time
 
-    async def watch(self) -> None:
+    def on_member(self, entry: table.Entry) -> None:
         """Refuses offers once the platform's list says that we leave."""
-        while not self._owner.leaving:
-            entry = self._members.entries.get(self._members.own.name)
-            if entry is not None and entry.leaving:
-                logger.info("listed as leaving")
-                self._leave()
-                return
-            await self._clock.sleep(WATCH_INTERVAL_S)
+        own = entry.name == self._members.own.name
+        if own and entry.leaving and not self._owner.leaving:
+            logger.info("listed as leaving")
+            self._leave("listed as leaving")
 
-    def _leave(self) -> None:
+    def _leave(self, reason: str) -> None:
         self._owner.leaving = True
-        self._members.mark_leaving(self._members.own.name, "planned stop")
+        self._members.mark_leaving(self._members.own.name, reason)
         self._announce()
 
     async def run(self, limit_s: float, idle_s: float) -> None:
@@ -72,7 +68,7 @@
         """
         begun = self._clock.monotonic()
         logger.info("draining")
-        self._leave()
+        self._leave("planned stop")
         await self._server.stop_accepting()
         while self._clock.monotonic() - begun < limit_s:
             self._server.close_idle(idle_s)
