--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -86,6 +86,7 @@
             self._members,
             self._store,
             self._membership.pinger,
+            lambda: self._membership.sync.serving,
             self._clock,
             rng,
             self._tasks,
@@ -104,6 +105,7 @@
             name: workers.LocalWorker(name, worker)
             for name, worker in file.workers.items()
         }
+        self._store.on_change(self._on_settings)
         self._configured = configured.ConfiguredWorkers(self._store)
         self._configured.follow(self._workers.values())
         self._members.narrow_by(self._configured.narrow)
@@ -149,6 +151,9 @@
         )
         self._register()
 
+    def _on_settings(self) -> None:
+        workers.apply_limits(self._workers, self._store.services, self._clock)
+
     def _register(self) -> None:
         register = self._transport.on_message
         register(wire.Offer, self._owner.on_offer)
@@ -164,7 +169,7 @@
         node = self._file.node
         self._transport.bind(node.link)
         self._membership.start()
-        self._tasks.spawn(self._drainer.watch(), "leaving-watch")
+        self._members.on_change(self._drainer.on_member)
         self._listen_admin(node.admin)
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.ingress import attempt
+from sardinedoor_node.limits import retries
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.util import digests
 from sardinedoor_schema import codes
@@ -25,7 +26,10 @@
 Job = attempt.Job
 
 _MAX_ATTEMPTS = 3
+_MAX_PICKS = 8
 _MAX_LOST = 2
+# Any other owner would refuse as well.
+_FINAL = frozenset({codes.Code.QUARANTINED, codes.Code.ORGANISATION_OVER_SHARE})
 
 
 class Forwarder:
@@ -50,6 +54,7 @@
         self._policy = policy
         self._metrics = counters
         self._clock = time
+        self._budgets = retries.RetryBudgets()
 
     async def forward(self, job: Job) -> Forwarded:
         """Tries targets until one outcome is final.
@@ -63,10 +68,12 @@
         """
         if job.keyed:
             return await self._forward_home(job)
+        budget = self._budgets.of(job.route.settings.service)
         tried: set[str] = set()
         unknown: list[Forwarded] = []
         last = Forwarded(codes.Code.NO_TARGET)
-        for _ in range(_MAX_ATTEMPTS):
+        attempts = 0
+        while attempts < _MAX_ATTEMPTS and len(tried) < _MAX_PICKS:
             if self._remaining(job) <= 0:
                 last = Forwarded(codes.Code.DEADLINE_EXPIRED)
                 break
@@ -76,12 +83,24 @@
                 break
             tried.add(target.worker)
             last = await self._attempt(job, target)
+            if last.code == codes.Code.LINK_DOWN:
+                # Nothing left this node, so it costs others nothing.
+                self._metrics.retry(last.code.name.lower())
+                continue
+            attempts += 1
             if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
                 unknown.append(last)
             if not _may_retry(job, last, unknown):
                 break
+            if not budget.spend():
+                self._metrics.event("retry_budget_spent")
+                last = _without_budget(last)
+                break
             self._metrics.retry(last.code.name.lower())
-        if codes.outcome(last.code) is codes.Outcome.ANSWERED or not unknown:
+        answered = codes.outcome(last.code) is codes.Outcome.ANSWERED
+        if answered:
+            budget.answered()
+        if answered or not unknown:
             return last
         return unknown[-1]
 
@@ -110,12 +129,21 @@
             offer.owner = entry.member.incarnation
         started = attempt.Attempt(job, offer, channel, inbox, self._clock)
         self._picker.started(target.worker)
+        incarnation = entry.incarnation
         try:
-            return await started.run(hold)
+            ended = await started.run(hold)
+            if ended.code == codes.Code.NODE_LEAVING:
+                self._learn_leaving(entry, incarnation)
+            return ended
         finally:
             self._exchanges.close(exchange_id)
             self._picker.finished(target.worker)
 
+    def _learn_leaving(self, entry: table.Entry, incarnation: bytes) -> None:
+        # An answer of an earlier run says nothing of the present one.
+        if entry.incarnation == incarnation:
+            self._members.mark_leaving(entry.name, "refused as leaving")
+
     def _holds(self, job: Job, channel: link.Channel) -> bool:
         if job.idempotent:
             return False
@@ -146,9 +174,15 @@
         )
 
 
+def _without_budget(last: Forwarded) -> Forwarded:
+    if codes.outcome(last.code) is codes.Outcome.NOT_RUN:
+        return Forwarded(codes.Code.RETRY_BUDGET_SPENT, last.worker)
+    return last
+
+
 def _may_retry(job: Job, last: Forwarded, unknown: list[Forwarded]) -> bool:
     outcome = codes.outcome(last.code)
-    if last.code == codes.Code.QUARANTINED:
+    if last.code in _FINAL:
         return False
     if outcome is codes.Outcome.NOT_RUN:
         return True
