--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,28 @@
-"""Passes over the failures listed in KNOWN-RED.txt, and prints them."""
+"""Settings of the tests, and the failures listed in KNOWN-RED.txt."""
 
 from __future__ import annotations
 
+import os
 import pathlib
 
+import hypothesis
 import pytest
 
+# `make fuzz` sets the number and draws new examples each time.
+_EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "0"))
+
+hypothesis.settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=200,
+)
+hypothesis.settings.register_profile(
+    "long", database=None, deadline=None, max_examples=_EXAMPLES or 1
+)
+hypothesis.settings.load_profile("long" if _EXAMPLES else "repeatable")
+
 _LIST = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
 
