--- a/packages/cli/src/sardinedoor_cli/main.py
+++ b/packages/cli/src/sardinedoor_cli/main.py
@@ -15,6 +15,7 @@
 from sardinedoor_cli import output
 from sardinedoor_cli import views
 from sardinedoor_node.admin import explain as admin_explain
+from sardinedoor_node.util import clock
 
 app = typer.Typer(no_args_is_help=True, help="Client for operators.")
 
@@ -113,6 +114,35 @@
         print(views.edit(edit, write))
 
 
+@app.command()
+def keys(
+    name: Annotated[
+        list[str] | None,
+        typer.Option(help="Name or IP number for a certificate, repeatable."),
+    ] = None,
+    valid_days: Annotated[
+        int, typer.Option(min=1, max=3650, help="Days a certificate is valid.")
+    ] = 90,
+    as_json: Json = False,
+) -> None:
+    """Makes keys for node links, and with --name a trial certificate.
+
+    What is printed is secret: put it into the nodes' own settings.
+    """
+    # Imported here, since it takes longer than the other commands need.
+    from sardinedoor_cli import keys as key_making
+
+    pair = key_making.make_link_keys()
+    certificate = None
+    if name:
+        now = clock.SystemClock().now()
+        certificate = key_making.make_certificate(name, valid_days, now)
+    if as_json:
+        output.print_json(views.Keys(pair, certificate))
+    else:
+        print(views.keys(pair, certificate))
+
+
 @app.command()
 def load(
     deployment: Annotated[
--- a/packages/cli/src/sardinedoor_cli/views.py
+++ b/packages/cli/src/sardinedoor_cli/views.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
+from sardinedoor_cli import keys as key_making
 from sardinedoor_cli import output
 
 if TYPE_CHECKING:
@@ -139,3 +141,30 @@
         f"{made.file}: {made.service} without {made.worker} keeps {made.left}"
         f" workers, floor {made.floor} ({state})"
     )
+
+
+@dataclasses.dataclass(slots=True)
+class Keys:
+    """Keys for a node's own settings; all of them are secret."""
+
+    link: key_making.LinkKeyPair
+    tls: key_making.Certificate | None
+
+
+def keys(
+    pair: key_making.LinkKeyPair, certificate: key_making.Certificate | None
+) -> str:
+    """Shows keys as lines of a node's own settings."""
+    lines = [
+        "; secret: for one node's own settings",
+        f"link_secret_key = {pair.secret}",
+        "; for the settings of all nodes",
+        f"link_accepted_keys = {pair.public}",
+    ]
+    if certificate is not None:
+        for key, pem in (
+            ("tls_certificate", certificate.certificate),
+            ("tls_key", certificate.key),
+        ):
+            lines.append(f"{key} = {key_making.as_ini_value(pem)}")
+    return "\n".join(lines)
--- a/tests/test_cli/test_cli_offline.py
+++ b/tests/test_cli/test_cli_offline.py
@@ -11,6 +11,7 @@
 
 from sardinedoor_cli import exits
 from sardinedoor_cli import main
+from sardinedoor_node.settings import nodefile
 from sardinedoor_schema import faults
 
 _GOOD = """
@@ -114,3 +115,20 @@
             done = run("drain", worker, *tree)
             self.assertEqual(exits.Exit.NEGATIVE, done.exit_code)
             self.assertIn(reason, done.output)
+
+
+class KeysTest(testtools.TestCase):
+    def test_printed_keys_are_valid_settings(self):
+        done = run("keys", "--name", "127.0.0.1")
+        self.assertEqual(exits.Exit.FINE, done.exit_code, done.output)
+        addresses = ("public", "internal", "link", "admin", "platform")
+        text = "[node]\nname = n\nregion = r\nfailure_domain = f\n"
+        for port, key in enumerate(addresses, start=8001):
+            text += f"{key} = 127.0.0.1:{port}\n"
+        parsed = nodefile.parse("n.ini", text + done.output)
+        self.assertTrue(parsed.is_ok(), parsed)
+        self.assertIn("BEGIN PRIVATE KEY", parsed.unwrap().node.tls_key)
+
+    def test_each_run_makes_other_keys(self):
+        pairs = [json.loads(run("keys", "--json").stdout) for _ in range(2)]
+        self.assertNotEqual(pairs[0]["link"], pairs[1]["link"])
