--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -30,6 +30,8 @@
         self._check()
 
     def _check(self) -> None:
+        if self._socket.closed:
+            return
         events = self._socket.getsockopt(zmq.EVENTS)
         if events & zmq.POLLIN:
             self._readable.set()
