--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -11,6 +11,7 @@
 from sardinedoor_node import boot
 from sardinedoor_node import drain
 from sardinedoor_node import metrics
+from sardinedoor_node.admin import explain
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
 from sardinedoor_node.ingress import exchanges
@@ -20,6 +21,7 @@
 from sardinedoor_node.ingress import tls
 from sardinedoor_node.link import curve
 from sardinedoor_node.link import zeromq
+from sardinedoor_node.membership import configured
 from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
@@ -109,6 +111,9 @@
             for name, worker in file.workers.items()
         }
         self._store.on_change(self._on_settings)
+        self._configured = configured.ConfiguredWorkers(self._store)
+        self._configured.follow(self._workers.values())
+        self._members.narrow_by(self._configured.narrow)
         key_homes = homes.Homes(self._store, self._clock)
         self._list_ages = listages.ListAges(
             {worker.service for worker in file.workers.values()},
@@ -210,7 +215,11 @@
     def _listen_admin(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         application = server.make_application(
-            self._metrics.registry, self._status
+            self._metrics.registry,
+            self._status,
+            explain.Explainer(
+                self._store, self._members, self._configured
+            ).explain,
         )
         application.listen(int(port), address=host.strip("[]"))
 
@@ -221,6 +230,7 @@
             self._members,
             self._store,
             self._platform,
+            self._workers.values(),
         )
 
     async def _drain(self) -> None:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -20,7 +20,12 @@
 
 
 class LocalWorker:
-    """One worker: its connections, and the requests it runs."""
+    """One worker: its connections, and the requests it runs.
+
+    Attributes:
+        drained: Whether the settings no longer name it, so that it gets no
+            new work.
+    """
 
     def __init__(
         self,
@@ -39,6 +44,7 @@
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
         self.leaving = False
+        self.drained = False
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
@@ -48,6 +54,11 @@
         """Slots in use."""
         return self._admission.in_flight
 
+    @property
+    def slots(self) -> int:
+        """Requests that the worker runs at once."""
+        return self._admission.slots
+
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
     ) -> None:
