--- a/packages/cli/src/sardinedoor_cli/__init__.py
+++ b/packages/cli/src/sardinedoor_cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' client."""
+"""The operator client."""
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -43,22 +43,22 @@
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
-        self.drained = False
         self.leaving = False
+        self.drained = False
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
 
-    @property
-    def slots(self) -> int:
-        """Requests that run at once."""
-        return self._admission.slots
-
     @property
     def in_flight(self) -> int:
         """Slots in use."""
         return self._admission.in_flight
 
+    @property
+    def slots(self) -> int:
+        """Requests that the worker runs at once."""
+        return self._admission.slots
+
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
     ) -> None:
