Judge targets by each real outcome, and pick by load, place and floor

Cause: nothing took a target that fails gray out of traffic, and the picker knew neither load, failure domain nor floor.

Owners now test each outcome, and the age of requests in flight, with a bank of CUSUM statistics; evidence is compared with the same stretch of time at other owners before it ejects, so that trouble of the whole service ejects nobody. Return is by trials with real idempotent requests. The verdict travels in Load and in member records; the owner itself refuses what an ingress offers unaware (2040 target_ejected, not run). The floor is kept by each node's own view. Silence of an owner is kept apart as evidence on the path.

--- /dev/null
+++ b/bench/detection/__init__.py
@@ -0,0 +1,1 @@
+"""Measures detectors and picker by feeding them outcomes."""
--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.admin import healthstatus
+
 if TYPE_CHECKING:
     from sardinedoor_node.membership import table
     from sardinedoor_node.platform import service
@@ -82,6 +84,9 @@
     teams: list[TeamStatus]
     platform: PlatformStatus
     targets: list[TargetStatus]
+    health: list[healthstatus.HealthStatus] = dataclasses.field(
+        default_factory=list
+    )
 
 
 def collect(
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -11,21 +11,27 @@
 from sardinedoor_node import boot
 from sardinedoor_node import drain
 from sardinedoor_node import metrics
+from sardinedoor_node.admin import healthstatus
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
+from sardinedoor_node.health import monitor
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import listener
+from sardinedoor_node.ingress import pathwatch
 from sardinedoor_node.ingress import tls
 from sardinedoor_node.link import curve
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
+from sardinedoor_node.owner import gate
 from sardinedoor_node.owner import homes
 from sardinedoor_node.owner import notices
 from sardinedoor_node.owner import suspects
+from sardinedoor_node.owner import watch
+from sardinedoor_node.owner import watched
 from sardinedoor_node.owner import workers
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.platform import service as platform_service
@@ -103,10 +109,23 @@
             self._clock,
             rng,
         )
-        self._workers = {
-            name: workers.LocalWorker(name, worker)
-            for name, worker in file.workers.items()
-        }
+        self._health = monitor.HealthMonitor(
+            {name: w.service for name, w in file.workers.items()}, self._clock
+        )
+        self._workers = watched.make_workers(
+            file.workers,
+            self._health,
+            gate.Gate(self._health, self._members, self._store),
+        )
+        self._watch = watch.HealthWatch(
+            self._health,
+            self._workers,
+            self._members,
+            self._store,
+            self._transport,
+            self._metrics,
+            self._clock,
+        )
         self._store.on_change(self._on_settings)
         key_homes = homes.Homes(self._store, self._clock)
         notifier = notices.Notifier(self._members, self._transport, self._clock)
@@ -124,10 +143,24 @@
         self._exchanges = exchanges.ExchangeTable(
             incarnation, self._metrics, self._clock
         )
+        picker = twochoices.TwoChoicesPicker(
+            rng,
+            self._clock,
+            twochoices.Place(file.node.name, file.node.failure_domain),
+            self._store.floor,
+        )
+        self._paths = pathwatch.PathWatch(
+            picker.paths,
+            self._membership.pinger,
+            self._members,
+            self._transport,
+            self._clock,
+            self._tasks,
+        )
         self._forwarder = forward.Forwarder(
             self._members,
             self._transport,
-            twochoices.TwoChoicesPicker(random.Random()),
+            picker,
             self._exchanges,
             key_homes,
             holding.AlwaysHold(),
@@ -177,6 +210,8 @@
         self._members.on_change(self._drainer.on_member)
         if self._tls is not None:
             self._tasks.spawn(self._tls.watch(), "certificate")
+        self._watch.start(self._tasks)
+        self._tasks.spawn(self._paths.run(), "path-watch")
         self._listen_admin(node.admin)
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
@@ -203,13 +238,17 @@
         application.listen(int(port), address=host.strip("[]"))
 
     def _status(self) -> status.Status:
-        return status.collect(
+        found = status.collect(
             self._file.node.name,
             self._boot.state,
             self._members,
             self._store,
             self._platform,
         )
+        found.health = healthstatus.collect(
+            self._health, self._clock.monotonic()
+        )
+        return found
 
     async def _drain(self) -> None:
         node = self._file.node
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -6,6 +6,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from sardinedoor_node.util import digests
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
@@ -44,6 +46,7 @@
     code: codes.Code
     worker: str = ""
     reply: wire.Reply | None = None
+    load: wire.Load | msgspec.UnsetType = msgspec.UNSET
 
 
 class Attempt:
@@ -187,14 +190,15 @@
 
     def _result(self, message: wire.Reply | wire.Refusal) -> Forwarded:
         if isinstance(message, wire.Refusal):
-            return self._refused(_known_code(message.code))
+            code = _known_code(message.code)
+            return Forwarded(code, self._offer.worker, load=message.load)
         is_whole = len(message.body) == message.length
         if not is_whole or digests.of_reply(message) != message.digest:
             return self._refused(codes.Code.REPLY_TRUNCATED)
         code = codes.Code.ANSWERED
         if message.before:
             code = codes.Code.ANSWERED_BEFORE
-        return Forwarded(code, self._offer.worker, message)
+        return Forwarded(code, self._offer.worker, message, message.load)
 
 
 def _known_code(number: int) -> codes.Code:
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -5,7 +5,9 @@
 import math
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import picking
 from sardinedoor_node.ingress import attempt
+from sardinedoor_node.ingress import feedback
 from sardinedoor_node.limits import retries
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.util import digests
@@ -15,7 +17,6 @@
 if TYPE_CHECKING:
     from sardinedoor_node import link
     from sardinedoor_node import metrics
-    from sardinedoor_node import picking
     from sardinedoor_node.ingress import exchanges
     from sardinedoor_node.ingress import holding
     from sardinedoor_node.membership import table
@@ -28,6 +29,7 @@
 _MAX_ATTEMPTS = 3
 _MAX_PICKS = 8
 _MAX_LOST = 2
+_FREE = frozenset({codes.Code.LINK_DOWN, codes.Code.TARGET_EJECTED})
 # Any other owner would refuse as well.
 _FINAL = frozenset({codes.Code.QUARANTINED, codes.Code.ORGANISATION_OVER_SHARE})
 
@@ -78,13 +80,15 @@
                 last = Forwarded(codes.Code.DEADLINE_EXPIRED)
                 break
             service = job.route.settings.service
-            target = self._picker.pick(self._members.targets(service), tried)
-            if target is None:
+            choice = self._picker.pick(
+                self._members.targets(service), tried, job.idempotent
+            )
+            if choice is None:
                 break
-            tried.add(target.worker)
-            last = await self._attempt(job, target)
-            if last.code == codes.Code.LINK_DOWN:
-                # Nothing left this node, so it costs others nothing.
+            tried.add(choice.target.worker)
+            last = await self._attempt(job, choice)
+            if last.code in _FREE:
+                # It took nobody's slot, so it costs others nothing.
                 self._metrics.retry(last.code.name.lower())
                 continue
             attempts += 1
@@ -112,32 +116,37 @@
         home = self._homes.home(service, name)
         for target in self._members.targets(service):
             if target.worker == home:
-                return _at_home(await self._attempt(job, target))
+                choice = picking.Choice(target)
+                return _at_home(await self._attempt(job, choice))
         return Forwarded(codes.Code.HOME_UNREACHABLE)
 
     def _remaining(self, job: Job) -> float:
         return job.deadline - self._clock.monotonic()
 
-    async def _attempt(self, job: Job, target: table.Target) -> Forwarded:
+    async def _attempt(self, job: Job, choice: picking.Choice) -> Forwarded:
+        target = choice.target
         entry = self._members.entries[target.node]
         channel = self._transport.connect(entry.name, entry.link)
         exchange_id, inbox = self._exchanges.open()
         offer = self._offer(job, target, exchange_id)
+        offer.rotation = choice.rotation.value
         hold = self._holds(job, channel)
         if not hold:
             offer.request = job.request
             offer.owner = entry.member.incarnation
         started = attempt.Attempt(job, offer, channel, inbox, self._clock)
-        self._picker.started(target.worker)
+        token = self._picker.started(target)
+        outcome = None
         incarnation = entry.incarnation
         try:
-            ended = await started.run(hold)
-            if ended.code == codes.Code.NODE_LEAVING:
+            outcome = await started.run(hold)
+            if outcome.code == codes.Code.NODE_LEAVING:
                 self._learn_leaving(entry, incarnation)
-            return ended
+            return outcome
         finally:
             self._exchanges.close(exchange_id)
-            self._picker.finished(target.worker)
+            heard = self._exchanges.heard(channel)
+            self._picker.finished(target, token, feedback.of(outcome, heard))
 
     def _learn_leaving(self, entry: table.Entry, incarnation: bytes) -> None:
         # An answer of an earlier run says nothing of the present one.
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/ingress/pathwatch.py
@@ -0,0 +1,61 @@
+"""Asks silent owners for a sign of life."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sardinedoor_node import link
+    from sardinedoor_node.membership import pings
+    from sardinedoor_node.membership import table
+    from sardinedoor_node.picking import path
+    from sardinedoor_node.util import clock
+    from sardinedoor_node.util import tasks
+
+_TICK_S = 0.1
+
+
+class PathWatch:
+    """Pings over the link that requests use, never another one."""
+
+    def __init__(
+        self,
+        paths: path.PathEvidence,
+        pinger: pings.Pinger,
+        members: table.MemberTable,
+        transport: link.Transport,
+        time: clock.Clock,
+        group: tasks.TaskGroup,
+    ):
+        """Remembers its parts; no task runs yet.
+
+        Args:
+            paths: Evidence on the paths to owners.
+            pinger: Sends pings.
+            members: Tells the address of an owner.
+            transport: The node's links.
+            time: The clock.
+            group: Runs the tasks.
+        """
+        self._paths = paths
+        self._pinger = pinger
+        self._members = members
+        self._transport = transport
+        self._clock = time
+        self._tasks = group
+
+    async def run(self) -> None:
+        """Looks for silent owners until cancelled."""
+        while True:
+            await self._clock.sleep(_TICK_S)
+            for name in self._paths.to_ask(self._clock.monotonic()):
+                self._tasks.spawn(self._ask(name), "ask-path")
+
+    async def _ask(self, name: str) -> None:
+        entry = self._members.entries.get(name)
+        if entry is None:
+            self._paths.forget(name)
+            return
+        channel = self._transport.connect(entry.name, entry.link)
+        if await self._pinger.ping(name, channel):
+            self._paths.heard(name, self._clock.monotonic())
--- a/packages/node/src/sardinedoor_node/metrics.py
+++ b/packages/node/src/sardinedoor_node/metrics.py
@@ -25,6 +25,10 @@
         self._events = self._counter(
             "sardinedoor_events_total", "Internal events by kind."
         )
+        self._health = self._counter(
+            "sardinedoor_health_changes_total",
+            "Changes of a target's health by new state and reason.",
+        )
         self._certificate_expiry = aioprometheus.Gauge(
             "sardinedoor_certificate_expiry_seconds",
             "End of the public certificate's validity, Unix time.",
@@ -55,6 +59,10 @@
         """Counts an internal event."""
         self._events.inc({"kind": kind})
 
+    def health(self, state: str, reason: str) -> None:
+        """Counts a change of a target's health."""
+        self._health.inc({"state": state, "reason": reason})
+
     def certificate_expiry(self, moment_s: float) -> None:
         """Notes when the public certificate expires, in s of Unix time."""
         self._certificate_expiry.set({}, moment_s)
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -199,6 +199,8 @@
     async def _reserve(
         self, exchange: Exchange, worker: workers.LocalWorker
     ) -> _Outcome:
+        if not worker.admits(exchange.offer):
+            return exchange.refuse(codes.Code.TARGET_EJECTED, worker.load())
         waiter = await worker.admit(
             exchange.offer, exchange.deadline, self._clock
         )
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/owner/watch.py
@@ -0,0 +1,238 @@
+"""Runs the health decisions of a node: ticks, probes, comparisons, news."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from typing import TYPE_CHECKING
+
+from sardinedoor_node import health
+from sardinedoor_node.health import comparison
+from sardinedoor_node.health import digest
+from sardinedoor_node.picking import ranking
+from sardinedoor_schema import codes
+from sardinedoor_schema.generated import wire
+
+if TYPE_CHECKING:
+    from sardinedoor_node import link
+    from sardinedoor_node import metrics
+    from sardinedoor_node.health import monitor
+    from sardinedoor_node.membership import table
+    from sardinedoor_node.owner import workers
+    from sardinedoor_node.settings import store
+    from sardinedoor_node.util import clock
+    from sardinedoor_node.util import tasks
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+REFRESH_S = 10.0
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+ANNOUNCE_INTERVAL_S = 1.0
+PEERS = 8
+_ANSWER_S = 0.15
+_COMPARE_INTERVAL_S = 0.1
+_ID_BYTES = 8
+_PPM = 1_000_000
+
+
+class HealthWatch:
+    """The tasks around one node's health monitor."""
+
+    def __init__(
+        self,
+        health_of: monitor.HealthMonitor,
+        local: dict[str, workers.LocalWorker],
+        members: table.MemberTable,
+        settings_store: store.SettingsStore,
+        transport: link.Transport,
+        counters: metrics.Metrics,
+        time: clock.Clock,
+    ):
+        """Registers for messages and settings; no task runs yet.
+
+        Args:
+            health_of: Judges the node's workers.
+            local: The node's workers.
+            members: Tells who else owns workers of a service.
+            settings_store: The teams' settings.
+            transport: Links to other owners.
+            counters: Where ejections are counted.
+            time: The clock.
+        """
+        self._health = health_of
+        self._local = local
+        self._members = members
+        self._store = settings_store
+        self._transport = transport
+        self._metrics = counters
+        self._clock = time
+        self._waiting: dict[bytes, asyncio.Future[wire.HealthAnswer]] = {}
+        self._comparing: set[str] = set()
+        health_of.on_change = self._on_change
+        settings_store.on_change(self._on_settings)
+        transport.on_message(wire.HealthQuery, self._on_query)
+        transport.on_message(wire.HealthAnswer, self._on_answer)
+        self._on_settings()
+
+    def start(self, group: tasks.TaskGroup) -> None:
+        """Starts the tasks.
+
+        Args:
+            group: Runs them.
+        """
+        group.spawn(self._run_ticks(group), "health-ticks")
+        group.spawn(self._run_refresh(), "health-refresh")
+        group.spawn(self._run_announce(), "health-announce")
+        for worker in self._local.values():
+            group.spawn(self._run_probes(worker), f"probe-{worker.name}")
+
+    def _on_settings(self) -> None:
+        self._health.configure(self._store.services)
+
+    def _on_change(
+        self, name: str, state: str, evidence: health.Evidence | None
+    ) -> None:
+        self._metrics.health(state, evidence.reason.value if evidence else "")
+        logger.warning(
+            "health",
+            extra={
+                "target": name,
+                "state": state,
+                "reason": evidence.reason.value if evidence else "",
+                "score": round(evidence.score, 1) if evidence else 0,
+            },
+        )
+
+    async def _run_ticks(self, group: tasks.TaskGroup) -> None:
+        while True:
+            await self._clock.sleep(TICK_S)
+            self._health.tick()
+            for suspicion in self._health.suspicions():
+                if suspicion.worker not in self._comparing:
+                    self._comparing.add(suspicion.worker)
+                    group.spawn(self._compare(suspicion), "health-compare")
+
+    async def _compare(self, suspicion: monitor.Suspicion) -> None:
+        try:
+            age_s = self._clock.monotonic() - suspicion.evidence.since
+            answers = await self._ask(
+                suspicion.service, age_s, suspicion.evidence.level
+            )
+            others = comparison.Counts()
+            for answer in answers:
+                others.add(comparison.Counts(answer.outcomes, answer.bad))
+            if not self._health.decide(suspicion, others):
+                self._metrics.event("suspicion_not_confirmed")
+                await self._clock.sleep(_COMPARE_INTERVAL_S)
+        finally:
+            self._comparing.discard(suspicion.worker)
+
+    async def _run_refresh(self) -> None:
+        while True:
+            for service in sorted(self._health.services):
+                answers = await self._ask(service, 0.0, 0)
+                digests = [_digest(d) for a in answers for d in a.digests]
+                self._health.heard(service, digests)
+            self._health.use_own_history()
+            await self._clock.sleep(REFRESH_S)
+
+    def _peers(self, service: str) -> list[str]:
+        own = self._members.own.name
+        nodes = {t.node for t in self._members.targets(service)} - {own}
+        return sorted(nodes, key=lambda n: ranking.rank(own, n))[:PEERS]
+
+    async def _ask(
+        self, service: str, age_s: float, level: int
+    ) -> list[wire.HealthAnswer]:
+        queries = []
+        loop = asyncio.get_running_loop()
+        for name in self._peers(service):
+            entry = self._members.entries[name]
+            channel = self._transport.connect(entry.name, entry.link)
+            query = wire.HealthQuery(
+                secrets.token_bytes(_ID_BYTES),
+                service,
+                int(age_s * 1000),
+                level,
+            )
+            if channel.send(query):
+                self._waiting[query.id] = loop.create_future()
+                queries.append(query.id)
+        if not queries:
+            return []
+        futures = [self._waiting[q] for q in queries]
+        try:
+            done, _ = await asyncio.wait(futures, timeout=_ANSWER_S)
+            return [future.result() for future in done]
+        finally:
+            for query_id in queries:
+                self._waiting.pop(query_id).cancel()
+
+    def _on_query(self, channel: link.Channel, query: wire.HealthQuery) -> None:
+        answer = self._health.answer(
+            query.service, query.age_ms / 1000, query.level
+        )
+        channel.send(
+            wire.HealthAnswer(
+                query.id,
+                answer.counts.outcomes,
+                answer.counts.bad,
+                [_to_message(d) for d in answer.digests],
+            )
+        )
+
+    def _on_answer(
+        self, channel: link.Channel, answer: wire.HealthAnswer
+    ) -> None:
+        del channel
+        future = self._waiting.get(answer.id)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    async def _run_probes(self, worker: workers.LocalWorker) -> None:
+        while True:
+            await self._clock.sleep(PROBE_INTERVAL_S)
+            service = self._store.services.get(worker.service)
+            if service is None or not service.probe_path:
+                continue
+            if not await self._probe(worker, service.probe_path):
+                self._metrics.event("probe_failed")
+                self._health.probe_failed(worker.name)
+
+    async def _probe(self, worker: workers.LocalWorker, path: str) -> bool:
+        request = wire.Request("GET", path)
+        reply = await worker.probe(request, PROBE_TIMEOUT_S)
+        return reply.code == codes.Code.ANSWERED and reply.status < 500
+
+    async def _run_announce(self) -> None:
+        while True:
+            await self._clock.sleep(ANNOUNCE_INTERVAL_S)
+            changed = False
+            for told in self._members.own.workers:
+                ejected = self._health.standing(told.name).ejected
+                changed = changed or told.ejected != ejected
+                told.ejected = ejected
+            if changed:
+                self._members.announce()
+
+
+def _digest(message: wire.WorkerDigest) -> digest.Digest:
+    steps = health.LEVELS - 1
+    shares = [share / _PPM for share in message.slow_ppm[:steps]]
+    shares += [0.0] * (steps - len(shares))
+    usual = health.Reference(
+        message.latency_us / 1e6, message.error_ppm / _PPM, tuple(shares)
+    )
+    return digest.Digest(message.outcomes, usual)
+
+
+def _to_message(found: digest.Digest) -> wire.WorkerDigest:
+    return wire.WorkerDigest(
+        found.outcomes,
+        int(found.usual.latency_s * 1e6),
+        int(found.usual.error_share * _PPM),
+        [int(share * _PPM) for share in found.usual.slow_shares],
+    )
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from sardinedoor_node import owner
+    from sardinedoor_node.owner import gate
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import settings
 
@@ -42,12 +43,24 @@
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
+        self._probes = target.TargetClient(worker.address)
+        self.gate: gate.Gate | None = None
 
     @property
     def in_flight(self) -> int:
         """Slots in use."""
         return self._admission.in_flight
 
+    async def probe(
+        self, request: wire.Request, timeout_s: float
+    ) -> target.TargetReply:
+        """Runs a probe, which is no evidence of health and takes no slot."""
+        return await self._probes.run(request, False, timeout_s)
+
+    def admits(self, offer: wire.Offer) -> bool:
+        """Tells whether the worker's health allows an offer."""
+        return self.gate is None or self.gate.admits(offer)
+
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
     ) -> None:
@@ -104,11 +117,14 @@
 
     def load(self) -> wire.Load:
         """Returns the load to tell others."""
-        return wire.Load(
+        load = wire.Load(
             in_flight=self._admission.in_flight,
             queued=self._admission.queued,
             latency_us=int(self._admission.service_s * 1_000_000),
         )
+        if self.gate is not None:
+            self.gate.describe(self.name, load)
+        return load
 
 
 def apply_limits(
--- a/packages/node/src/sardinedoor_node/settings/store.py
+++ b/packages/node/src/sardinedoor_node/settings/store.py
@@ -74,6 +74,11 @@
         """Digest of the revisions held, in force and refused."""
         return self._digest.to_bytes(records.HASH_BYTES, "big")
 
+    def floor(self, service: str) -> int:
+        """Returns a service's floor, 1 where it isn't known."""
+        found = self._services.get(service)
+        return found.floor if found else 1
+
     def revision(self, team: str) -> int:
         """Returns the revision in force, 0 for none."""
         subtree = self._subtrees.get(team)
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -30,6 +30,8 @@
     14: wire.Reply,
     15: wire.Refusal,
     16: wire.CrashNotice,
+    17: wire.HealthQuery,
+    18: wire.HealthAnswer,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
--- a/packages/standins/src/sardinedoor_standins/memfleet.py
+++ b/packages/standins/src/sardinedoor_standins/memfleet.py
@@ -122,7 +122,12 @@
         self.forwarder = forward.Forwarder(
             self.members,
             transport,
-            twochoices.TwoChoicesPicker(random.Random(fleet.rng.random())),
+            twochoices.TwoChoicesPicker(
+                random.Random(fleet.rng.random()),
+                self.clock,
+                twochoices.Place(self.name),
+                self.store.floor,
+            ),
             table_of_exchanges,
             key_homes,
             fleet.policy,
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -227,12 +227,28 @@
     bench.send()
 
 
+class _ClosedGate:
+    """Takes the worker for ejected."""
+
+    def admits(self, offer: wire.Offer) -> bool:
+        return False
+
+    def describe(self, name: str, load: wire.Load) -> None:
+        load.ejected = True
+
+
+def _target_ejected(bench: _Bench) -> None:
+    bench.owner._workers["n0-w0"].gate = _ClosedGate()
+    bench.send()
+
+
 _ROWS = {
     _C.ANSWERED: _answered,
     _C.ANSWERED_BEFORE: _answered_before,
     _C.NO_TARGET: _no_target,
     _C.NODE_LEAVING: _node_leaving,
     _C.TARGET_LEAVING: _target_leaving,
+    _C.TARGET_EJECTED: _target_ejected,
     _C.NOT_OWNER: _not_owner,
     _C.QUEUE_FULL: _queue_full,
     _C.DEADLINE_EXPIRED: _deadline_expired,
