--- a/packages/node/src/sardinedoor_node/link/port.py
+++ b/packages/node/src/sardinedoor_node/link/port.py
@@ -30,6 +30,8 @@
         self._check()
 
     def _check(self) -> None:
+        if self._socket.closed:
+            return
         events = self._socket.getsockopt(zmq.EVENTS)
         if events & zmq.POLLIN:
             self._readable.set()
@@ -43,9 +45,11 @@
             parts: The parts.
 
         Returns:
-            False if the peer isn't connected or its queue is full; then
-            nothing was sent.
+            False if the peer isn't connected, its queue is full or the port
+            is closed; then nothing was sent.
         """
+        if self._socket.closed:
+            return False
         try:
             self._socket.send_multipart(parts, zmq.DONTWAIT)
         except zmq.ZMQError:
--- a/packages/standins/src/sardinedoor_standins/fleet.py
+++ b/packages/standins/src/sardinedoor_standins/fleet.py
@@ -24,6 +24,7 @@
 _HOST_RANGE = 250
 _STOP_TIMEOUT_S = 40.0
 _POLL_S = 0.05
+_SEEDS = 3
 _STATUS_TIMEOUT_S = 0.5
 _RELAY = "relay"
 
@@ -199,6 +200,7 @@
             f"link_advertised = {node.advertised}",
             f"admin = {node.admin}",
             f"platform = {self.platform_address}",
+            f"seeds = {', '.join(self._seeds(node))}",
         ]
         for worker in node.workers:
             lines += [
@@ -208,6 +210,11 @@
             ]
         return "\n".join(lines) + "\n"
 
+    def _seeds(self, node: NodePlan) -> list[str]:
+        """Names peers to ask while the platform is down."""
+        others = [n.advertised for n in self.plan.nodes if n is not node]
+        return others[:_SEEDS]
+
     def _spawn(self, name: str, module: str, arguments: list[str]) -> None:
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
--- a/tests/test_link/test_link_zeromq.py
+++ b/tests/test_link/test_link_zeromq.py
@@ -35,6 +35,18 @@
             self._stop.set()
             owner.join()
 
+    def test_a_closed_link_refuses_at_once(self):
+        async def run() -> bool:
+            transport = zeromq.ZeromqTransport("ingress", metrics.Metrics())
+            channel = transport.connect("owner", self._address)
+            transport.disconnect("owner")
+            try:
+                return channel.send(wire.Offer(b"1", "s", "w", 1))
+            finally:
+                await transport.close()
+
+        self.assertFalse(asyncio.run(run()))
+
     async def _serve(self) -> None:
         transport = zeromq.ZeromqTransport("owner", metrics.Metrics())
         transport.on_message(
