--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.admin import healthstatus
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -101,6 +103,9 @@
     platform: PlatformStatus
     targets: list[TargetStatus]
     workers: list[WorkerStatus]
+    health: list[healthstatus.HealthStatus] = dataclasses.field(
+        default_factory=list
+    )
 
 
 def collect(
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -201,6 +201,8 @@
     ) -> _Outcome:
         if worker.drained:
             return exchange.refuse(codes.Code.WORKER_DRAINED, worker.load())
+        if not worker.admits(exchange.offer):
+            return exchange.refuse(codes.Code.TARGET_EJECTED, worker.load())
         waiter = await worker.admit(
             exchange.offer, exchange.deadline, self._clock
         )
