--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node import picking
+from sardinedoor_node.health import worker
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import feedback
 from sardinedoor_node.limits import retries
@@ -85,6 +86,8 @@
             )
             if choice is None:
                 break
+            if choice.rotation is not worker.Rotation.IN:
+                self._metrics.event(f"offered_as_{choice.rotation.value}")
             tried.add(choice.target.worker)
             last = await self._attempt(job, choice)
             if last.code in _FREE:
