--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -165,7 +165,6 @@
             organisation=job.organisation,
             priority=job.route.settings.priority,
             key=job.key,
-            key_sent_ms=ledger.key_time_ms(job.key),
             team=job.route.team,
             revision=job.route.revision,
             fingerprint=digests.of_request(
--- a/packages/node/src/sardinedoor_node/owner/suspects.py
+++ b/packages/node/src/sardinedoor_node/owner/suspects.py
@@ -73,7 +73,9 @@
             return True
         return suspect.trial_ends > self._clock.monotonic()
 
-    def begin(self, service: str, fingerprint: bytes, remaining_s: float):
+    def begin(
+        self, service: str, fingerprint: bytes, remaining_s: float
+    ) -> None:
         """Tells the others if the request that starts now is a suspect.
 
         Args:
