Blame a hanging target from the second request on

Each kept connection of a hanging target put one timeout down to itself. After the first timeout on a kept connection all are closed, so the next request takes a fresh one. Three kept connections, three requests: connection suspected 3 times before, once after.

--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -112,9 +112,12 @@
         if reply.code == codes.Code.ANSWERED:
             return reply
         reply.suspects_connection = True
-        if reply.code != codes.Code.TARGET_TIMEOUT or silent == deadline:
+        if reply.code != codes.Code.TARGET_TIMEOUT:
             return reply
+        # A hanging target is blamed from the next request on.
         self.close()
+        if silent == deadline:
+            return reply
         again = await self._run_fresh(request, deadline)
         if codes.outcome(again.code) is codes.Outcome.NOT_RUN:
             return reply
--- a/tests/test_owner/test_owner_target.py
+++ b/tests/test_owner/test_owner_target.py
@@ -143,6 +143,21 @@
         server = _with_server([_OK, _HANG, _OK], use)
         self.assertEqual([1, 1, 2], server.requests)
 
+    def test_a_hanging_target_is_blamed_from_the_second_request_on(self):
+        suspected = []
+
+        async def use(client):
+            await asyncio.gather(
+                *(client.run(_request("GET"), True, 1.0) for _ in range(3))
+            )
+            for _ in range(3):
+                reply = await client.run(_request("GET"), True, 0.1)
+                self.assertEqual(_C.TARGET_TIMEOUT, reply.code)
+                suspected.append(reply.suspects_connection)
+
+        _with_server([_OK] * 3 + [_HANG] * 3, use)
+        self.assertEqual([True, False, False], suspected)
+
     def test_listening(self):
         async def use(client):
             self.assertTrue(await client.is_listening())
