--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -22,6 +22,7 @@
 _PACKAGE = "sardinedoor_node"
 _GRID = _ROOT / "bench/faultgrid.py"
 _TESTS = [
+    _ROOT / "tests/test_link/test_link_silence.py",
     _ROOT / "tests/test_owner/test_owner_exchange.py",
     _ROOT / "tests/test_owner/test_owner_keys.py",
     _ROOT / "tests/test_owner/test_owner_suspects.py",
@@ -196,6 +197,12 @@
         "silent = min(deadline, now + SILENT_S)",
         "silent = deadline",
     ),
+    Mutant(
+        "a silent node link is replaced",
+        "link/zeromq.py",
+        "            _configure_heartbeat(dealer)\n",
+        "            pass\n",
+    ),
 ]
 
 
--- a/tests/test_link/test_link_silence.py
+++ b/tests/test_link/test_link_silence.py
@@ -14,6 +14,7 @@
 # Interval and timeout of heartbeats, a reconnect, and the machine's margin.
 _BOUND_S = 1.3 + 0.7
 _POLL_S = 0.02
+_GIVE_UP_S = 8.0
 
 
 class _Relay:
@@ -88,7 +89,7 @@
     async def _until_heard(self, channel, heard: asyncio.Event) -> float:
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        while not heard.is_set():
+        while not heard.is_set() and loop.time() < begun + _GIVE_UP_S:
             channel.send(wire.Offer(b"1", "s", "w", 1))
             await asyncio.sleep(_POLL_S)
         return loop.time() - begun
