--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.ingress import attempt
+from sardinedoor_node.ingress import avoid
 from sardinedoor_node.limits import retries
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.util import digests
@@ -55,6 +56,7 @@
         self._metrics = counters
         self._clock = time
         self._budgets = retries.RetryBudgets()
+        self._avoided = avoid.AvoidList()
 
     async def forward(self, job: Job) -> Forwarded:
         """Tries targets until one outcome is final.
@@ -69,11 +71,13 @@
         if job.keyed:
             return await self._forward_home(job)
         budget = self._budgets.of(job.route.settings.service)
-        tried: set[str] = set()
+        tried = self._avoided.current(self._clock.monotonic())
         unknown: list[Forwarded] = []
         last = Forwarded(codes.Code.NO_TARGET)
         attempts = 0
-        while attempts < _MAX_ATTEMPTS and len(tried) < _MAX_PICKS:
+        for _ in range(_MAX_PICKS):
+            if attempts == _MAX_ATTEMPTS:
+                break
             if self._remaining(job) <= 0:
                 last = Forwarded(codes.Code.DEADLINE_EXPIRED)
                 break
@@ -87,6 +91,8 @@
                 # Nothing left this node, so it costs others nothing.
                 self._metrics.retry(last.code.name.lower())
                 continue
+            if last.code == codes.Code.TARGET_LEAVING:
+                self._avoided.add(target.worker, self._clock.monotonic())
             attempts += 1
             if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
                 unknown.append(last)
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -147,7 +147,7 @@
             return exchange.refuse(codes.Code.NODE_LEAVING)
         if worker is None or worker.service != offer.service:
             return exchange.refuse(codes.Code.NOT_OWNER)
-        if worker.leaving:
+        if worker.is_leaving(self._clock.monotonic()):
             return exchange.refuse(codes.Code.TARGET_LEAVING)
         if self._suspects.is_refused(offer.fingerprint):
             return exchange.refuse(codes.Code.QUARANTINED)
@@ -258,6 +258,7 @@
         exchange.started = True
         timed = deadlines.with_remaining(request, remaining_s)
         reply = await worker.client.run(timed, offer.idempotent, remaining_s)
+        worker.heard(reply, self._clock.monotonic())
         await self._note_end(offer.service, worker, fingerprint, reply.code)
         if reply.code != codes.Code.ANSWERED:
             return exchange.refuse(reply.code, worker.load())
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.limits import admission
 from sardinedoor_node.owner import target
+from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
@@ -17,6 +19,10 @@
 
 DEFAULT_SLOTS = 3
 _SALT_BYTES = 16
+# A draining worker names this header in its answers, also to probes.
+LEAVING_HEADER = "Sardinedoor-Leaving"
+# Without a new word for this long, a request may try the worker again.
+LEAVING_LEASE_S = 30.0
 
 
 class LocalWorker:
@@ -38,7 +44,8 @@
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
-        self.leaving = False
+        self._removed = False
+        self._leaving_until = -math.inf
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
@@ -48,6 +55,32 @@
         """Slots in use."""
         return self._admission.in_flight
 
+    def is_leaving(self, now: float) -> bool:
+        """Tells whether the worker takes no new work.
+
+        Args:
+            now: Monotonic time, in s.
+        """
+        return self._removed or now < self._leaving_until
+
+    def heard(self, reply: target.TargetReply, now: float) -> None:
+        """Takes what the worker says of itself in any answer.
+
+        Args:
+            reply: An answer to a request or a probe.
+            now: Monotonic time, in s.
+        """
+        if reply.code != codes.Code.ANSWERED:
+            return
+        if LEAVING_HEADER in reply.headers:
+            self._leaving_until = now + LEAVING_LEASE_S
+        else:
+            self._leaving_until = now
+
+    def set_removed(self, removed: bool) -> None:
+        """Notes whether the service's settings leave the worker out."""
+        self._removed = removed
+
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
     ) -> None:
@@ -127,3 +160,4 @@
         service = services.get(worker.service)
         if service is not None:
             worker.set_limits(service, time)
+            worker.set_removed(worker.name not in service.workers)
--- a/tests/test_ingress/test_ingress_tls.py
+++ b/tests/test_ingress/test_ingress_tls.py
@@ -34,10 +34,10 @@
 region = r
 failure_domain = f
 public = 127.0.0.1:1
-internal = 127.0.0.1:1
-link = 127.0.0.1:1
-admin = 127.0.0.1:1
-platform = 127.0.0.1:1
+internal = 127.0.0.1:2
+link = 127.0.0.1:3
+admin = 127.0.0.1:4
+platform = 127.0.0.1:5
 """
 _GET = b"GET /p HTTP/1.1\r\nHost: h\r\n\r\n"
 _NOW = datetime.datetime(2026, 1, 2, 3, 4, 5, tzinfo=datetime.UTC)
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -223,7 +223,7 @@
 
 
 def _target_leaving(bench: _Bench) -> None:
-    bench.owner._workers["n0-w0"].leaving = True
+    bench.owner._workers["n0-w0"].set_removed(True)
     bench.send()
 
 
