--- a/tests/test_fleet/test_fleet_drain.py
+++ b/tests/test_fleet/test_fleet_drain.py
@@ -9,14 +9,18 @@
 import signal
 import tempfile
 
+import msgspec
 import testtools
+from tornado import httpclient
 
 from sardinedoor_standins import caller
 from sardinedoor_standins import fleet
+from sardinedoor_standins import target
 
 SEED = 4
 _CALLERS = 24
 _NODES = 3
+_SLOW_REQUESTS = 5
 # The address has no node that serves: none listens, or one is starting.
 _NOBODY_SERVES = ("refused", "2021")
 _SETTINGS = """
@@ -85,6 +89,13 @@
         return ending in _NOBODY_SERVES
 
 
+async def _ask(address: str) -> str:
+    own = caller.Caller(address)
+    answer = await own.request("POST", "/permits/1", body=b"fee")
+    own.close()
+    return answer.headers.get("sardinedoor-code", answer.ending.value)
+
+
 class DrainTest(testtools.TestCase):
     def test_no_request_is_cut_by_stopping_each_node_in_turn(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -117,6 +128,37 @@
         finally:
             running.close()
 
+    def test_work_in_flight_is_finished_and_a_second_signal_is_nothing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            found = asyncio.run(self._run_slow(pathlib.Path(folder)))
+        self.assertEqual(["1000"] * 2 * _SLOW_REQUESTS, found)
+
+    async def _run_slow(self, folder: pathlib.Path) -> list[str]:
+        running = fleet.Fleet(make_plan(), folder)
+        behaviour = msgspec.json.encode(target.Behaviour(service_ms=1500))
+        client = httpclient.AsyncHTTPClient(force_instance=True)
+        try:
+            await running.start()
+            for node in running.plan.nodes:
+                for worker in node.workers:
+                    url = f"http://{worker.address}/-/control"
+                    await client.fetch(url, method="PUT", body=behaviour)
+            # n0 has work as ingress, by n0 and n1, and as owner.
+            addresses = [n.public for n in running.plan.nodes[:2]]
+            tasks = [
+                asyncio.create_task(_ask(address))
+                for address in addresses * _SLOW_REQUESTS
+            ]
+            await asyncio.sleep(0.3)
+            running.signal("n0", signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            running.signal("n0", signal.SIGTERM)
+            self.assertEqual(0, await running.stop("n0"))
+            return await asyncio.gather(*tasks)
+        finally:
+            client.close()
+            running.close()
+
     async def _print_reasons(
         self, running: fleet.Fleet, stopped: fleet.NodePlan | None
     ) -> None:
--- a/tests/test_fleet/test_fleet_leaving.py
+++ b/tests/test_fleet/test_fleet_leaving.py
@@ -71,6 +71,12 @@
         own.close()
         return reached
 
+    async def _one(self, running: fleet.Fleet) -> str:
+        own = caller.Caller(running.plan.nodes[0].public)
+        answer = await own.request("POST", "/permits/1", body=b"x")
+        own.close()
+        return answer.headers.get("sardinedoor-code", answer.ending.value)
+
     async def _last_run(self, running: fleet.Fleet, name: str) -> float:
         worker = running.node(name).workers[0]
         body = await running.wait_http(f"http://{worker.address}/-/control")
@@ -88,7 +94,11 @@
             told = time.monotonic()
             await running.publish(leaving=("n1",))
             await asyncio.sleep(_LAST_WORK_S)
+            # These wait for it and are read together with all news.
+            early = [asyncio.create_task(self._one(running)) for _ in range(9)]
+            await asyncio.sleep(0.1)
             running.signal("n0", signal.SIGCONT)
+            self.assertEqual(["1000"] * 9, await asyncio.gather(*early))
             await self._check(running, told)
 
         self._run(case)
--- a/tests/test_link/test_link_curve.py
+++ b/tests/test_link/test_link_curve.py
@@ -20,6 +20,8 @@
 # A trial of a key, a reconnect, and the machine's margin.
 _ROTATED_S = 5.0
 _REFUSED_S = 0.6
+# Long enough for a client to try both of its keys.
+_BOTH_REFUSED_S = 2 * zeromq.KEY_TRIAL_S + 0.5
 _POLL_S = 0.02
 
 
@@ -75,6 +77,8 @@
     def test_only_known_keys_get_through(self):
         for case in _cases():
             limit_s = _ROTATED_S if case.works else _REFUSED_S
+            if case.name == "client knows server":
+                limit_s = _BOTH_REFUSED_S
             found = asyncio.run(self._try(case, limit_s))
             self.assertEqual(case.works, found, case.name)
 
