--- a/packages/node/src/sardinedoor_node/owner/watch.py
+++ b/packages/node/src/sardinedoor_node/owner/watch.py
@@ -205,6 +205,7 @@
     async def _probe(self, worker: workers.LocalWorker, path: str) -> bool:
         request = wire.Request("GET", path)
         reply = await worker.probe(request, PROBE_TIMEOUT_S)
+        worker.heard(reply, self._clock.monotonic())
         return reply.code == codes.Code.ANSWERED and reply.status < 500
 
     async def _run_announce(self) -> None:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.limits import admission
 from sardinedoor_node.owner import target
+from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
@@ -18,6 +20,10 @@
 
 DEFAULT_SLOTS = 3
 _SALT_BYTES = 16
+# A draining worker names this header in its answers, also to probes.
+LEAVING_HEADER = "Sardinedoor-Leaving"
+# Without a new word for this long, a request may try the worker again.
+LEAVING_LEASE_S = 30.0
 
 
 class LocalWorker:
@@ -44,8 +50,8 @@
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
-        self.leaving = False
         self.drained = False
+        self._leaving_until = -math.inf
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
@@ -72,6 +78,28 @@
         """Tells whether the worker's health allows an offer."""
         return self.gate is None or self.gate.admits(offer)
 
+    def is_leaving(self, now: float) -> bool:
+        """Tells whether the worker says that it drains.
+
+        Args:
+            now: Monotonic time, in s.
+        """
+        return now < self._leaving_until
+
+    def heard(self, reply: target.TargetReply, now: float) -> None:
+        """Takes what the worker says of itself in any answer.
+
+        Args:
+            reply: An answer to a request or a probe.
+            now: Monotonic time, in s.
+        """
+        if reply.code != codes.Code.ANSWERED:
+            return
+        if LEAVING_HEADER in reply.headers:
+            self._leaving_until = now + LEAVING_LEASE_S
+        else:
+            self._leaving_until = now
+
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
     ) -> None:
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -9,6 +9,8 @@
 from sardinedoor_node.ingress import holding
 from sardinedoor_node.owner import holds
 from sardinedoor_node.owner import ledger
+from sardinedoor_node.owner import target
+from sardinedoor_node.owner import workers
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 from sardinedoor_standins import faketarget
@@ -228,7 +230,10 @@
 
 
 def _target_leaving(bench: _Bench) -> None:
-    bench.owner._workers["n0-w0"].leaving = True
+    worker = bench.owner._workers["n0-w0"]
+    reply = target.TargetReply(codes.Code.ANSWERED, 200)
+    reply.headers.add(workers.LEAVING_HEADER, "1")
+    worker.heard(reply, bench.owner._clock.monotonic())
     bench.send()
 
 
