Blame no target for a suspected connection

The class of a reply took a timeout or a loss on a kept connection, and a deadline that had passed before anything was sent, for the target's fault. The new table fails without the change.

--- a/packages/node/src/sardinedoor_node/owner/watched.py
+++ b/packages/node/src/sardinedoor_node/owner/watched.py
@@ -69,8 +69,10 @@
         self._inner.close()
 
 
-def kind_of(reply: target.TargetReply) -> health.Kind:
-    """Classes a reply as evidence on the target."""
+def kind_of(reply: target.TargetReply) -> health.Kind | None:
+    """Classes a reply as evidence on the target; None if it is none."""
+    if reply.suspects_connection or reply.code == codes.Code.DEADLINE_EXPIRED:
+        return None
     if reply.code == codes.Code.TARGET_TIMEOUT:
         return health.Kind.TIMEOUT
     if reply.code != codes.Code.ANSWERED or reply.status >= _SERVER_ERROR:
--- /dev/null
+++ b/tests/test_owner/test_owner_blame.py
@@ -0,0 +1,28 @@
+"""Which ends of a request speak against its target."""
+
+from __future__ import annotations
+
+import testtools
+
+from sardinedoor_node import health
+from sardinedoor_node.owner import target
+from sardinedoor_node.owner import watched
+from sardinedoor_schema import codes
+
+_C = codes.Code
+
+
+class BlameTest(testtools.TestCase):
+    def test_table(self):
+        rows = [
+            (target.TargetReply(_C.ANSWERED, status=200), health.Kind.ANSWERED),
+            (target.TargetReply(_C.ANSWERED, status=503), health.Kind.ERROR),
+            (target.TargetReply(_C.TARGET_TIMEOUT), health.Kind.TIMEOUT),
+            (target.TargetReply(_C.CONNECT_FAILED), health.Kind.ERROR),
+            (target.TargetReply(_C.TARGET_CONNECTION_LOST), health.Kind.ERROR),
+            (target.TargetReply(_C.DEADLINE_EXPIRED), None),
+            (target.TargetReply(_C.TARGET_TIMEOUT, True), None),
+            (target.TargetReply(_C.TARGET_CONNECTION_LOST, True), None),
+        ]
+        for reply, kind in rows:
+            self.assertIs(kind, watched.kind_of(reply), str(reply))
