--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,242 @@
+"""Control budget of one node with tables of the target size.
+
+Two real processes: a node that is measured, and a stand-in peer, a process of
+this script, that answers its boot with synthetic members and settings, and
+then restarts members and edits settings at the target's rates. No fleet is
+simulated: the peer only holds tables.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING
+from typing import Annotated
+
+import msgspec
+from tornado import httpclient
+import typer
+
+from sardinedoor_node import metrics
+from sardinedoor_node.link import zeromq
+from sardinedoor_node.membership import service
+from sardinedoor_node.membership import table
+from sardinedoor_node.settings import store
+from sardinedoor_node.util import clock
+from sardinedoor_node.util import tasks
+from sardinedoor_schema.generated import platform
+from sardinedoor_schema.generated import wire
+from sardinedoor_standins import sockets
+from sardinedoor_standins import usage
+
+if TYPE_CHECKING:
+    from sardinedoor_node import link
+
+_DAY_S = 86_400
+_SERVICES = 810
+_WORKERS = 40_000
+_ROUTES = 8_500
+_EDITS_PER_DAY = 4_400
+_RESTARTS_PER_DAY = 13_000
+_DOMAINS = 10
+_TEAMS = 90
+_ABSENT = "127.0.0.1:9"
+_BOOT_LIMIT_S = 60
+
+
+def _subtree(team: int, edit: int) -> platform.Subtree:
+    """Builds a team's share of services, workers and routes."""
+    name = f"team-{team}"
+    services = range(team, _SERVICES, _TEAMS)
+    parts = [f"[team]\nname = {name}\n"]
+    for number in services:
+        workers = ", ".join(
+            f"svc-{number}-{w}" for w in range(number, _WORKERS, _SERVICES)
+        )
+        parts.append(
+            f"[service svc-{number}]\nworkers = {workers}\n"
+            f"floor = {1 + edit % 9}\n"
+        )
+        for route in range(number, _ROUTES, _SERVICES):
+            parts.append(
+                f"[route r-{route}]\nservice = svc-{number}\n"
+                f"path = /t{team}/r{route}\nvisibility = public\n"
+            )
+    return platform.Subtree(name, edit + 1, "".join(parts))
+
+
+def _member(number: int, nodes: int, epoch: int, address: str) -> wire.Member:
+    return wire.Member(
+        f"node-{number}",
+        os.urandom(16),
+        address,
+        epoch=epoch,
+        failure_domain=f"fd-{number % _DOMAINS}",
+        region=f"region-{number % 3}",
+        workers=[
+            wire.Worker(f"svc-{w % _SERVICES}-{w}", f"svc-{w % _SERVICES}")
+            for w in range(number, _WORKERS, nodes)
+        ],
+    )
+
+
+class _Peer:
+    """Holds the tables and speaks the real protocol."""
+
+    def __init__(self, nodes: int, address: str):
+        self._nodes = nodes
+        self._address = address
+        self._rng = random.Random(1)
+        self.tasks = tasks.TaskGroup()
+        time_ = clock.SystemClock()
+        own = wire.Member(
+            "node-0", os.urandom(16), address, epoch=1, failure_domain="fd-0"
+        )
+        self.members = table.MemberTable(own, time_)
+        self.store = store.SettingsStore()
+        self.transport = zeromq.ZeromqTransport("node-0", metrics.Metrics())
+        self.transport.bind(address)
+        self.membership = service.Membership(
+            self.members,
+            self.store,
+            self.transport,
+            time_,
+            self._rng,
+            self.tasks,
+        )
+        # Only the measured node counts; the peer neither probes nor connects.
+        self.membership.links._cap = 0
+        self.membership.near.watched = lambda: []
+        self.membership.sync.serving = True
+        self.transport.on_message(wire.Ping, self._on_ping)
+        self.tasks.spawn(self.membership.gossip.run(), "gossip")
+
+    def _on_ping(self, channel: link.Channel, ping: wire.Ping) -> None:
+        """Answers in the name of every member."""
+        ping.target = "node-0"
+        self.membership.near.heard(ping.sender, channel)
+        self.membership.pinger.on_ping(channel, ping)
+
+    def fill(self) -> None:
+        """Fills the tables."""
+        for number in range(1, self._nodes):
+            self.members.heard(_member(number, self._nodes, 1, self._address))
+        for team in range(_TEAMS):
+            self.store.offer(_subtree(team, 0))
+
+    async def churn(self, seconds: float, factor: float) -> None:
+        """Restarts members and edits settings at a multiple of the rates."""
+        end = time.monotonic() + seconds
+        rate = factor * (_EDITS_PER_DAY + _RESTARTS_PER_DAY) / _DAY_S
+        edit = 1
+        while time.monotonic() < end:
+            await asyncio.sleep(self._rng.expovariate(rate))
+            share = _EDITS_PER_DAY / (_EDITS_PER_DAY + _RESTARTS_PER_DAY)
+            if self._rng.random() < share:
+                self.store.offer(_subtree(self._rng.randrange(_TEAMS), edit))
+                edit += 1
+            else:
+                await self._restart(edit)
+
+    async def _restart(self, edit: int) -> None:
+        number = self._rng.randrange(1, self._nodes)
+        self.members.mark_leaving(f"node-{number}", "planned stop")
+        await asyncio.sleep(0.2)
+        epoch = int(time.time() * 1000)
+        self.members.heard(_member(number, self._nodes, epoch, self._address))
+
+    async def close(self) -> None:
+        """Ends the peer."""
+        await self.tasks.cancel()
+        await self.transport.close()
+
+
+def _node_ini(seed: str, admin: str) -> str:
+    addresses = sockets.free_addresses(3)
+    return (
+        "[node]\nname = node-x\nregion = region-0\nfailure_domain = fd-0\n"
+        f"public = {addresses[0]}\ninternal = {addresses[1]}\n"
+        f"link = {addresses[2]}\nadmin = {admin}\nplatform = {_ABSENT}\n"
+        f"seeds = {seed}\nlog_level = error\n"
+    )
+
+
+async def _wait_ready(client: httpclient.AsyncHTTPClient, admin: str) -> None:
+    end = time.monotonic() + _BOOT_LIMIT_S
+    while time.monotonic() < end:
+        try:
+            reply = await client.fetch(
+                f"http://{admin}/status", request_timeout=20
+            )
+        except (OSError, httpclient.HTTPError):
+            await asyncio.sleep(0.1)
+            continue
+        status = msgspec.json.decode(reply.body)
+        if status["ready"]:
+            print(f"teams {len(status['teams'])}")
+            return
+        await asyncio.sleep(0.2)
+    raise TimeoutError("the node is not ready")
+
+
+def _print_use(label: str, before: usage.Usage, after: usage.Usage) -> None:
+    span = after.at - before.at
+    print(
+        f"{label}: cpu {100 * (after.cpu_s - before.cpu_s) / span:.2f}% of a "
+        f"core, rss {after.rss_bytes / 2**20:.1f} MiB, sent "
+        f"{(after.sent_bytes - before.sent_bytes) / span:.0f} B/s, received "
+        f"{(after.received_bytes - before.received_bytes) / span:.0f} B/s, "
+        f"sockets {after.sockets}",
+        flush=True,
+    )
+
+
+async def _run(nodes: int, window_s: float, factor: float) -> None:
+    seed, admin = sockets.free_addresses(2)
+    peer = _Peer(nodes, seed)
+    peer.fill()
+    client = httpclient.AsyncHTTPClient(force_instance=True)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "node.ini"
+        path.write_text(_node_ini(seed, admin))
+        start = time.monotonic()
+        process = subprocess.Popen(
+            [sys.executable, "-m", "sardinedoor_node.main", "--settings", path]
+        )
+        try:
+            await _wait_ready(client, admin)
+            print(f"boot: {time.monotonic() - start:.2f} s from exec")
+            await asyncio.sleep(8)
+            first = usage.read([process.pid])[process.pid]
+            print(f"cpu since exec {first.cpu_s:.2f} s")
+            await asyncio.sleep(window_s)
+            idle = usage.read([process.pid])[process.pid]
+            _print_use("idle", first, idle)
+            await peer.churn(window_s, factor)
+            busy = usage.read([process.pid])[process.pid]
+            _print_use(f"{factor:g} times the target's churn", idle, busy)
+        finally:
+            process.terminate()
+            process.wait()
+            await peer.close()
+            client.close()
+
+
+def main(
+    nodes: Annotated[int, typer.Option(help="Members.")] = 2600,
+    window_s: Annotated[float, typer.Option(help="Windows.")] = 20,
+    factor: Annotated[float, typer.Option(help="Times the churn.")] = 10,
+) -> None:
+    """Runs the benchmark."""
+    print(f"{nodes} nodes, {_WORKERS} workers, {_SERVICES} services, {_ROUTES}")
+    asyncio.run(_run(nodes, window_s, factor))
+
+
+if __name__ == "__main__":
+    typer.run(main)
