--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -11,6 +11,7 @@
 from sardinedoor_node import boot
 from sardinedoor_node import drain
 from sardinedoor_node import metrics
+from sardinedoor_node.admin import explain
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
 from sardinedoor_node.ingress import exchanges
@@ -20,10 +21,12 @@
 from sardinedoor_node.ingress import tls
 from sardinedoor_node.link import curve
 from sardinedoor_node.link import zeromq
+from sardinedoor_node.membership import configured
 from sardinedoor_node.membership import service
 from sardinedoor_node.membership import table
 from sardinedoor_node.owner import exchange
 from sardinedoor_node.owner import homes
+from sardinedoor_node.owner import listages
 from sardinedoor_node.owner import notices
 from sardinedoor_node.owner import suspects
 from sardinedoor_node.owner import workers
@@ -108,7 +111,18 @@
             for name, worker in file.workers.items()
         }
         self._store.on_change(self._on_settings)
+        self._configured = configured.ConfiguredWorkers(self._store)
+        self._configured.follow(self._workers.values())
+        self._members.narrow_by(self._configured.narrow)
         key_homes = homes.Homes(self._store, self._clock)
+        self._list_ages = listages.ListAges(
+            {worker.service for worker in file.workers.values()},
+            key_homes,
+            self._members,
+            self._transport,
+            self._clock,
+            random.Random(),
+        )
         notifier = notices.Notifier(self._members, self._transport, self._clock)
         self._suspects = suspects.Suspects(
             notifier.notify, self._metrics, self._clock
@@ -165,6 +179,8 @@
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
         register(wire.CrashNotice, self._suspects.on_notice)
+        register(wire.ListAgeRequest, self._list_ages.on_request)
+        register(wire.ListAge, self._list_ages.on_answer)
         register(wire.Held, self._exchanges.on_message)
         register(wire.Reply, self._exchanges.on_message)
         register(wire.Refusal, self._exchanges.on_message)
@@ -190,6 +206,7 @@
         self._membership.sync.serving = True
         self._ingress.starting = False
         logger.info("serving")
+        await self._list_ages.run()
 
     def stop(self) -> None:
         """Begins the planned stop; more calls change nothing."""
@@ -198,7 +215,11 @@
     def _listen_admin(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         application = server.make_application(
-            self._metrics.registry, self._status
+            self._metrics.registry,
+            self._status,
+            explain.Explainer(
+                self._store, self._members, self._configured
+            ).explain,
         )
         application.listen(int(port), address=host.strip("[]"))
 
@@ -209,6 +230,7 @@
             self._members,
             self._store,
             self._platform,
+            self._workers.values(),
         )
 
     async def _drain(self) -> None:
