Open links only for use, and replace the routes of the changed team only

Cause: links opened ahead of use were 291 on one node with a table of 2,600 members (a member that ranked among the best when it was heard of got one), and their heartbeats cost 58 kB/s. Attempts now wait for a link to connect, so none is opened ahead; links without a send for 660 s are closed. Names of workers and services are shared between tables.

--- a/bench/control.py
+++ b/bench/control.py
@@ -110,8 +110,7 @@
             self._rng,
             self.tasks,
         )
-        # Only the measured node counts; the peer neither probes nor connects.
-        self.membership.links._cap = 0
+        # Only the measured node counts; the peer does not probe.
         self.membership.near.watched = lambda: []
         self.membership.sync.serving = True
         self.transport.on_message(wire.Ping, self._on_ping)
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -35,8 +35,8 @@
 def _settings(edit: int) -> str:
     return (
         f"[team]\nname = {_TEAM}\n[service permits]\nworkers = permits-0\n"
-        f"floor = {edit % 100}\n[route permits]\nservice = permits\n"
-        "path = /permits\n"
+        f"[route permits]\nservice = permits\npath = /permits\n"
+        f"timeout_ms = {1000 + edit}\n"
     )
 
 
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from sardinedoor_node import metrics
     from sardinedoor_node.settings import store
+    from sardinedoor_node.settings import tree
     from sardinedoor_node.util import clock
 
 logger = logging.getLogger(__name__)
@@ -50,7 +51,7 @@
         self._server = server.Server(
             self, counters, time, max_connections, tls_context
         )
-        settings_store.on_change(self._on_settings)
+        settings_store.on_team_change(self._on_team)
 
     @property
     def server(self) -> server.Server:
@@ -62,8 +63,8 @@
         """Number of requests that are not finished."""
         return self._server.busy
 
-    def _on_settings(self) -> None:
-        self._routes = routes.RouteTable(self._store.subtrees.values())
+    def _on_team(self, old: tree.Subtree | None, new: tree.Subtree) -> None:
+        self._routes.replace(old, new)
 
     def listen(self, address: str, public: bool) -> None:
         """Starts a listener.
--- a/packages/node/src/sardinedoor_node/ingress/routes.py
+++ b/packages/node/src/sardinedoor_node/ingress/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -48,17 +49,40 @@
     def __init__(self, subtrees: Iterable[tree.Subtree]):
         """Indexes the routes of all subtrees."""
         self._routes: dict[tuple[str, bool], Route] = {}
-        self._internal: set[str] = set()
+        self._internal: collections.Counter[str] = collections.Counter()
         for subtree in subtrees:
-            for name, route in subtree.routes.items():
-                self._add(Route(name, subtree.team, subtree.revision, route))
+            self.replace(None, subtree)
+
+    def replace(self, old: tree.Subtree | None, new: tree.Subtree) -> None:
+        """Replaces the routes of one team.
+
+        Args:
+            old: The team's subtree that is indexed now, if any.
+            new: The one to index.
+        """
+        for route in old.routes.values() if old is not None else ():
+            self._remove(new.team, route)
+        for name, route in new.routes.items():
+            self._add(Route(name, new.team, new.revision, route))
+
+    def _remove(self, team: str, route: settings.RouteSettings) -> None:
+        prefix = route.path.rstrip("/")
+        public = route.visibility == "public"
+        indexed = self._routes.get((prefix, public))
+        if indexed is not None and indexed.team == team:
+            del self._routes[prefix, public]
+        if not public:
+            folded = paths.fold(prefix)
+            self._internal[folded] -= 1
+            if not self._internal[folded]:
+                del self._internal[folded]
 
     def _add(self, route: Route) -> None:
         prefix = route.settings.path.rstrip("/")
         public = route.settings.visibility == "public"
         self._routes.setdefault((prefix, public), route)
         if not public:
-            self._internal.add(paths.fold(prefix))
+            self._internal[paths.fold(prefix)] += 1
 
     def match(
         self, method: str, path: str, public: bool
--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -82,3 +82,6 @@
         Args:
             name: Name under which it was opened.
         """
+
+    def close_idle(self) -> None:  # noqa: B027
+        """Closes channels on which nothing was sent for long."""
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -32,6 +32,8 @@
 _KEEPALIVE_S = 30
 _RECONNECT_MAX_MS = 1000
 _ROUTER_CHANNELS = 4096
+# Longer than the longest timeout of a route, so that no reply is lost.
+_IDLE_S = 660.0
 _ANY_HOSTS = ("0.0.0.0", "[::]")
 
 
@@ -207,6 +209,12 @@
             peer.task.cancel()
             peer.channel.port.close()
 
+    def close_idle(self) -> None:
+        """See base class."""
+        for name, peer in list(self._peers.items()):
+            if peer.channel.refusing_s > _IDLE_S:
+                self.disconnect(name)
+
     async def _serve(self, router: port.Port) -> None:
         channels: dict[bytes, RouterChannel] = {}
         while True:
--- a/packages/node/src/sardinedoor_node/membership/neighbours.py
+++ b/packages/node/src/sardinedoor_node/membership/neighbours.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import membership
 from sardinedoor_node.membership import rings
 
 if TYPE_CHECKING:
@@ -47,6 +48,12 @@
             self._rings.put(entry.name)
         else:
             self._rings.drop(entry.name)
+        if entry.state is membership.State.REMOVED:
+            self._transport.disconnect(entry.name)
+
+    def close_idle(self) -> None:
+        """Closes links for requests that have long been of no use."""
+        self._transport.close_idle()
 
     def heard(self, name: str, channel: link.Channel) -> None:
         """Notes a ping, whose channel serves to send news back."""
--- a/packages/node/src/sardinedoor_node/membership/prober.py
+++ b/packages/node/src/sardinedoor_node/membership/prober.py
@@ -200,6 +200,7 @@
         while True:
             await self._clock.sleep(FORGET_TICK_S)
             self._members.expire()
+            self._near.close_idle()
 
     async def _revisit_dead(self) -> None:
         """Pings the dead now and then, so that partitions heal."""
--- a/packages/node/src/sardinedoor_node/membership/service.py
+++ b/packages/node/src/sardinedoor_node/membership/service.py
@@ -8,7 +8,6 @@
 from sardinedoor_node.membership import bodies
 from sardinedoor_node.membership import gossip
 from sardinedoor_node.membership import lag
-from sardinedoor_node.membership import links
 from sardinedoor_node.membership import neighbours
 from sardinedoor_node.membership import pings
 from sardinedoor_node.membership import prober
@@ -50,7 +49,6 @@
         self._transport = transport
         self.guard = lag.LagGuard(time)
         self.near = neighbours.Neighbours(members, transport, time)
-        self.links = links.RequestLinks(members, transport)
         self.gossip = gossip.Gossip(
             members, self.near, settings_store.state, time
         )
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import sys
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -232,6 +233,7 @@
             return False
         if entry.name != self._own.name:
             member = msgspec.structs.replace(member, leaving=entry.leaving)
+        _intern(member)
         entry.member = member
         entry.held = entry.digest
         entry.link = member.link
@@ -406,6 +408,13 @@
                 call(entry.name)
 
 
+def _intern(member: wire.Member) -> None:
+    """Shares names that stand in many records."""
+    for worker in member.workers:
+        worker.name = sys.intern(worker.name)
+        worker.service = sys.intern(worker.service)
+
+
 def _is_later(record: wire.MemberState, removed: wire.MemberState) -> bool:
     return (record.epoch, record.incarnation, record.version) > (
         removed.epoch,
--- a/packages/node/src/sardinedoor_node/settings/tree.py
+++ b/packages/node/src/sardinedoor_node/settings/tree.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import re
+import sys
 from typing import TYPE_CHECKING
 
 import result
@@ -148,7 +149,8 @@
     if section.startswith(_SERVICE_PREFIX):
         service = reader.convert(section, settings.ServiceSettings)
         if service is not None:
-            name = section.removeprefix(_SERVICE_PREFIX)
+            name = sys.intern(section.removeprefix(_SERVICE_PREFIX))
+            service.workers = [sys.intern(w) for w in service.workers]
             reader.check_name(section, "", name)
             subtree.services[name] = service
             _check_service(reader, section, service)
