--- a/tests/test_membership/test_membership_faults.py
+++ b/tests/test_membership/test_membership_faults.py
@@ -62,7 +62,10 @@
                 watcher = running.nodes["n0"]
                 member = watcher.membership.near.watched()[0]
                 running.cut(["n0"], [member], 30)
-                running.run(20)
+                for _ in range(100):
+                    running.run(0.2)
+                    rest = others(running, member)
+                    self.assert_states(running, rest, member, "ALIVE")
                 entry = watcher.members.entries[member]
                 self.assertEqual("ALIVE", entry.state.name)
                 self.assertFalse(entry.reachable)
@@ -78,10 +81,11 @@
             with cluster(seed) as running:
                 rest = others(running, "n0")
                 running.cut(rest, ["n0"], 20)
-                running.run(15)
-                for name in rest:
-                    observers = others(running, "n0", name)
-                    self.assert_states(running, observers, name, "ALIVE")
+                for _ in range(75):
+                    running.run(0.2)
+                    for name in rest:
+                        observers = others(running, "n0", name)
+                        self.assert_states(running, observers, name, "ALIVE")
                 running.run(25)
                 self.assert_all_alive(running)
 
--- a/tests/test_settings/test_settings_spread.py
+++ b/tests/test_settings/test_settings_spread.py
@@ -70,6 +70,8 @@
             good = running.nodes["n0"].store.revision(TEAM)
             bad = running.edit(TEAM, "[broken")
             running.run(IN_FORCE_S)
+            running.faults(down=True)
+            running.seeds = ["n0", "n1"]
             running.kill("n3")
             running.start("n3")
             running.run(IN_FORCE_S)
