--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -32,6 +32,8 @@
     16: wire.CrashNotice,
     17: wire.ListAgeRequest,
     18: wire.ListAge,
+    30: wire.HealthQuery,
+    31: wire.HealthAnswer,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
