--- a/packages/standins/src/sardinedoor_standins/scenario/actions.py
+++ b/packages/standins/src/sardinedoor_standins/scenario/actions.py
@@ -48,13 +48,26 @@
 
     async def run(self, fleet_bench: bench.Bench) -> None:
         """See base class."""
-        fleet_bench.left_at[self.node] = time.monotonic()
+        fleet_bench.left_at.setdefault(self.node, time.monotonic())
         fleet_bench.down.add(self.node)
         await fleet_bench.fleet.publish(tuple(fleet_bench.left_at))
         code = await fleet_bench.fleet.stop(self.node)
         fleet_bench.exit_codes[self.node] = code
 
 
+@dataclasses.dataclass(slots=True)
+class TellNode(scenario.Step):
+    """Tells a node to stop, and goes on while it drains."""
+
+    node: str
+
+    async def run(self, fleet_bench: bench.Bench) -> None:
+        """See base class."""
+        fleet_bench.left_at[self.node] = time.monotonic()
+        fleet_bench.down.add(self.node)
+        fleet_bench.fleet.signal(self.node, signal.SIGTERM)
+
+
 class RollNodes(scenario.Step):
     """Stops and starts each node, one after the other."""
 
@@ -290,6 +303,7 @@
     "start_fleet": StartFleet,
     "start_node": StartNode,
     "stop_node": StopNode,
+    "tell_node": TellNode,
     "roll_nodes": RollNodes,
     "kill_node": KillNode,
     "freeze_node": FreezeNode,
