--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -30,12 +30,14 @@
     14: wire.Reply,
     15: wire.Refusal,
     16: wire.CrashNotice,
-    17: wire.HealthQuery,
-    18: wire.HealthAnswer,
+    17: wire.ListAgeRequest,
+    18: wire.ListAge,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
     23: wire.SettingsBodies,
+    30: wire.HealthQuery,
+    31: wire.HealthAnswer,
 }
 _NUMBERS = {cls: number for number, cls in _TYPES.items()}
 _DECODERS = {n: msgspec.msgpack.Decoder(cls) for n, cls in _TYPES.items()}
