--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -32,12 +32,12 @@
     16: wire.CrashNotice,
     17: wire.ListAgeRequest,
     18: wire.ListAge,
-    30: wire.HealthQuery,
-    31: wire.HealthAnswer,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
     23: wire.SettingsBodies,
+    30: wire.HealthQuery,
+    31: wire.HealthAnswer,
 }
 _NUMBERS = {cls: number for number, cls in _TYPES.items()}
 _DECODERS = {n: msgspec.msgpack.Decoder(cls) for n, cls in _TYPES.items()}
