--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from sardinedoor_node import owner
+    from sardinedoor_node.owner import gate
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import settings
 
@@ -26,7 +27,12 @@
 
 
 class LocalWorker:
-    """One worker: its connections, and the requests it runs."""
+    """One worker: its connections, and the requests it runs.
+
+    Attributes:
+        drained: Whether the settings no longer name it, so that it gets no
+            new work.
+    """
 
     def __init__(
         self,
@@ -44,11 +50,13 @@
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
-        self._removed = False
+        self.drained = False
         self._leaving_until = -math.inf
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
+        self._probes = target.TargetClient(worker.address)
+        self.gate: gate.Gate | None = None
 
     @property
     def in_flight(self) -> int:
@@ -56,12 +64,12 @@
         return self._admission.in_flight
 
     def is_leaving(self, now: float) -> bool:
-        """Tells whether the worker takes no new work.
+        """Tells whether the worker itself says that it is draining.
 
         Args:
             now: Monotonic time, in s.
         """
-        return self._removed or now < self._leaving_until
+        return now < self._leaving_until
 
     def heard(self, reply: target.TargetReply, now: float) -> None:
         """Takes what the worker says of itself in any answer.
@@ -77,9 +85,20 @@
         else:
             self._leaving_until = now
 
-    def set_removed(self, removed: bool) -> None:
-        """Notes whether the service's settings leave the worker out."""
-        self._removed = removed
+    @property
+    def slots(self) -> int:
+        """Requests that the worker runs at once."""
+        return self._admission.slots
+
+    async def probe(
+        self, request: wire.Request, timeout_s: float
+    ) -> target.TargetReply:
+        """Runs a probe, which is no evidence of health and takes no slot."""
+        return await self._probes.run(request, False, timeout_s)
+
+    def admits(self, offer: wire.Offer) -> bool:
+        """Tells whether the worker's health allows an offer."""
+        return self.gate is None or self.gate.admits(offer)
 
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
@@ -137,11 +156,14 @@
 
     def load(self) -> wire.Load:
         """Returns the load to tell others."""
-        return wire.Load(
+        load = wire.Load(
             in_flight=self._admission.in_flight,
             queued=self._admission.queued,
             latency_us=int(self._admission.service_s * 1_000_000),
         )
+        if self.gate is not None:
+            self.gate.describe(self.name, load)
+        return load
 
 
 def apply_limits(
@@ -160,4 +182,3 @@
         service = services.get(worker.service)
         if service is not None:
             worker.set_limits(service, time)
-            worker.set_removed(worker.name not in service.workers)
