--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -100,8 +100,7 @@
                 self._metrics.retry(last.code.name.lower())
                 continue
             if last.code in _LEAVING:
-                worker = choice.target.worker
-                self._avoided.add(worker, self._clock.monotonic())
+                self._avoided.add(last.worker, self._clock.monotonic())
             attempts += 1
             if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
                 unknown.append(last)
