--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -32,6 +32,7 @@
 _MAX_PICKS = 8
 _MAX_LOST = 2
 _FREE = frozenset({codes.Code.LINK_DOWN, codes.Code.TARGET_EJECTED})
+_LEAVING = frozenset({codes.Code.TARGET_LEAVING, codes.Code.WORKER_DRAINED})
 # Any other owner would refuse as well.
 _FINAL = frozenset({codes.Code.QUARANTINED, codes.Code.ORGANISATION_OVER_SHARE})
 
@@ -98,8 +99,8 @@
                 # It took nobody's slot, so it costs others nothing.
                 self._metrics.retry(last.code.name.lower())
                 continue
-            if last.code == codes.Code.TARGET_LEAVING:
-                self._avoided.add(choice.target.worker, self._clock.monotonic())
+            if last.code in _LEAVING:
+                self._avoided.add(last.worker, self._clock.monotonic())
             attempts += 1
             if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
                 unknown.append(last)
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -63,23 +63,8 @@
         """Slots in use."""
         return self._admission.in_flight
 
-    @property
-    def slots(self) -> int:
-        """Requests that the worker runs at once."""
-        return self._admission.slots
-
-    async def probe(
-        self, request: wire.Request, timeout_s: float
-    ) -> target.TargetReply:
-        """Runs a probe, which is no evidence of health and takes no slot."""
-        return await self._probes.run(request, False, timeout_s)
-
-    def admits(self, offer: wire.Offer) -> bool:
-        """Tells whether the worker's health allows an offer."""
-        return self.gate is None or self.gate.admits(offer)
-
     def is_leaving(self, now: float) -> bool:
-        """Tells whether the worker says that it drains.
+        """Tells whether the worker itself says that it is draining.
 
         Args:
             now: Monotonic time, in s.
@@ -100,6 +85,21 @@
         else:
             self._leaving_until = now
 
+    @property
+    def slots(self) -> int:
+        """Requests that the worker runs at once."""
+        return self._admission.slots
+
+    async def probe(
+        self, request: wire.Request, timeout_s: float
+    ) -> target.TargetReply:
+        """Runs a probe, which is no evidence of health and takes no slot."""
+        return await self._probes.run(request, False, timeout_s)
+
+    def admits(self, offer: wire.Offer) -> bool:
+        """Tells whether the worker's health allows an offer."""
+        return self.gate is None or self.gate.admits(offer)
+
     def set_limits(
         self, service: settings.ServiceSettings, time: clock.Clock
     ) -> None:
