--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -11,6 +11,7 @@
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import headers
 from sardinedoor_node.ingress import paths
+from sardinedoor_node.ingress import requests
 from sardinedoor_node.ingress import responses
 from sardinedoor_node.ingress import routes
 from sardinedoor_node.ingress import server
@@ -30,7 +31,7 @@
 _ID_BYTES = 8
 
 
-class Ingress(server.Handler):
+class Ingress(requests.Handler):
     """Serves the requests of the node's listeners."""
 
     def __init__(
@@ -75,7 +76,7 @@
         """
         self._server.listen(address, public)
 
-    def check(self, request: server.Request) -> codes.Code | None:
+    def check(self, request: requests.Request) -> codes.Code | None:
         """See base class."""
         if self.starting:
             return codes.Code.NODE_STARTING
@@ -94,7 +95,7 @@
         request.route = matched.unwrap()
         return None
 
-    async def serve(self, request: server.Request) -> None:
+    async def serve(self, request: requests.Request) -> None:
         """See base class."""
         request_id = headers.request_id(request.headers)
         if request_id is None:
@@ -105,7 +106,7 @@
         self._respond(request, request_id, outcome)
 
     async def _forward(
-        self, request: server.Request, request_id: str
+        self, request: requests.Request, request_id: str
     ) -> forward.Forwarded:
         if request.refusal is not None:
             return forward.Forwarded(request.refusal)
@@ -133,7 +134,7 @@
 
     def _log(
         self,
-        request: server.Request,
+        request: requests.Request,
         request_id: str,
         outcome: forward.Forwarded,
     ) -> None:
@@ -156,7 +157,7 @@
 
     def _respond(
         self,
-        request: server.Request,
+        request: requests.Request,
         request_id: str,
         outcome: forward.Forwarded,
     ) -> None:
@@ -178,7 +179,7 @@
         _write(request, status, response, body)
 
 
-def _to_wire(request: server.Request, request_id: str) -> wire.Request:
+def _to_wire(request: requests.Request, request_id: str) -> wire.Request:
     target = request.target
     assert target is not None
     fields = request.headers
@@ -205,7 +206,7 @@
 
 
 def _write(
-    request: server.Request,
+    request: requests.Request,
     status: int,
     response: httputil.HTTPHeaders,
     body: bytes,
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sardinedoor_node import membership
+from sardinedoor_node.membership import entries
 from sardinedoor_node.membership import records
 from sardinedoor_node.membership import targets
 from sardinedoor_node.util import clock
@@ -23,6 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
+Entry = entries.Entry
 Target = targets.Target
 Narrow = Callable[[str, list[Target]], list[Target]]
 
@@ -31,59 +33,6 @@
 FORGET_S = 86_400.0
 
 
-@dataclasses.dataclass(slots=True)
-class Entry:
-    """What is known of one member.
-
-    Attributes:
-        incarnation: Empty until the member was heard of by its own words.
-        reachable: Whether this node's own messages get through.
-        listed: Whether the platform's list named it when last read.
-        digest: Of the newest whole record that was advertised.
-        held: Digest of the whole record at hand, in `member`.
-        restarted: Whether an earlier run under this name was known.
-        run_since: When this run was first heard of, on this node's clock.
-        restarted: Whether an earlier run under this name was known.
-        run_since: When this run was first heard of, on this node's clock.
-        changed_at: When the state last changed, on this node's clock.
-    """
-
-    name: str
-    link: str
-    member: wire.Member | None = None
-    alive: bool = False
-    leaving: bool = False
-    incarnation: bytes = b""
-    epoch: int = 0
-    version: int = 0
-    state: membership.State = membership.State.DEAD
-    reachable: bool = True
-    listed: bool = False
-    failure_domain: str = ""
-    digest: bytes = b""
-    held: bytes = b""
-    reason: str = "not heard of yet"
-    changed_at: float = 0.0
-    restarted: bool = False
-    run_since: float = 0.0
-    hash: int = 0
-
-    @property
-    def usable(self) -> bool:
-        """Whether new work may be sent to the member."""
-        return (
-            self.alive
-            and self.reachable
-            and not self.leaving
-            and self.member is not None
-        )
-
-    @property
-    def outdated(self) -> bool:
-        """Whether another whole record was advertised than the one at hand."""
-        return self.alive and self.digest != self.held
-
-
 @dataclasses.dataclass(slots=True)
 class _Tombstone:
     record: wire.MemberState
