--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -37,6 +37,33 @@
 _FINAL = frozenset({codes.Code.QUARANTINED, codes.Code.ORGANISATION_OVER_SHARE})
 
 
+class _Course:
+    """The attempts at one request so far."""
+
+    def __init__(self, avoided: set[str]):
+        self.tried = avoided
+        self.unknown: list[Forwarded] = []
+        self.last = Forwarded(codes.Code.NO_TARGET)
+        self.attempts = 0
+
+    def add(self, choice: picking.Choice, last: Forwarded) -> None:
+        """Adds an attempt; one that took nobody's slot doesn't count."""
+        self.tried.add(choice.target.worker)
+        self.last = last
+        if last.code in _FREE:
+            return
+        self.attempts += 1
+        if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
+            self.unknown.append(last)
+
+    def outcome(self) -> Forwarded:
+        """Returns the outcome of all attempts together."""
+        answered = codes.outcome(self.last.code) is codes.Outcome.ANSWERED
+        if answered or not self.unknown:
+            return self.last
+        return self.unknown[-1]
+
+
 class Forwarder:
     """Runs exchanges with owners."""
 
@@ -75,48 +102,47 @@
         if job.keyed:
             return await self._forward_home(job)
         budget = self._budgets.of(job.route.settings.service)
-        tried = self._avoided.current(self._clock.monotonic())
-        unknown: list[Forwarded] = []
-        last = Forwarded(codes.Code.NO_TARGET)
-        attempts = 0
+        course = _Course(self._avoided.current(self._clock.monotonic()))
         for _ in range(_MAX_PICKS):
-            if attempts == _MAX_ATTEMPTS:
-                break
-            if self._remaining(job) <= 0:
-                last = Forwarded(codes.Code.DEADLINE_EXPIRED)
-                break
-            service = job.route.settings.service
-            choice = self._picker.pick(
-                self._members.targets(service), tried, job.idempotent
-            )
+            choice = self._choose(job, course)
             if choice is None:
                 break
-            if choice.rotation is not worker.Rotation.IN:
-                self._metrics.event(f"offered_as_{choice.rotation.value}")
-            tried.add(choice.target.worker)
-            last = await self._attempt(job, choice)
-            if last.code in _FREE:
-                # It took nobody's slot, so it costs others nothing.
-                self._metrics.retry(last.code.name.lower())
-                continue
-            if last.code in _LEAVING:
-                self._avoided.add(last.worker, self._clock.monotonic())
-            attempts += 1
-            if codes.outcome(last.code) is codes.Outcome.UNKNOWN:
-                unknown.append(last)
-            if not _may_retry(job, last, unknown):
+            course.add(choice, await self._attempt(job, choice))
+            if not self._goes_on(job, course, budget):
                 break
-            if not budget.spend():
-                self._metrics.event("retry_budget_spent")
-                last = _without_budget(last)
-                break
-            self._metrics.retry(last.code.name.lower())
-        answered = codes.outcome(last.code) is codes.Outcome.ANSWERED
-        if answered:
+            self._metrics.retry(course.last.code.name.lower())
+        outcome = course.outcome()
+        if codes.outcome(outcome.code) is codes.Outcome.ANSWERED:
             budget.answered()
-        if answered or not unknown:
-            return last
-        return unknown[-1]
+        return outcome
+
+    def _choose(self, job: Job, course: _Course) -> picking.Choice | None:
+        if course.attempts == _MAX_ATTEMPTS:
+            return None
+        if self._remaining(job) <= 0:
+            course.last = Forwarded(codes.Code.DEADLINE_EXPIRED)
+            return None
+        candidates = self._members.targets(job.route.settings.service)
+        choice = self._picker.pick(candidates, course.tried, job.idempotent)
+        if choice is not None and choice.rotation is not worker.Rotation.IN:
+            self._metrics.event(f"offered_as_{choice.rotation.value}")
+        return choice
+
+    def _goes_on(
+        self, job: Job, course: _Course, budget: retries.RetryBudget
+    ) -> bool:
+        last = course.last
+        if last.code in _FREE:
+            return True
+        if last.code in _LEAVING:
+            self._avoided.add(last.worker, self._clock.monotonic())
+        if not _may_retry(job, last, course.unknown):
+            return False
+        if budget.spend():
+            return True
+        self._metrics.event("retry_budget_spent")
+        course.last = _without_budget(last)
+        return False
 
     async def _forward_home(self, job: Job) -> Forwarded:
         if not ledger.is_valid(job.key):
