--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -74,8 +74,8 @@
     Mutant(
         "one unknown attempt makes the request unknown",
         "ingress/forward.py",
-        "        return unknown[-1]\n",
-        "        return last\n",
+        "        return self.unknown[-1]\n",
+        "        return self.last\n",
     ),
     Mutant(
         "unknown is not retried unless idempotent",
@@ -109,14 +109,14 @@
     ),
     Mutant(
         "the home waits for a running key",
-        "owner/exchange.py",
+        "owner/keyed.py",
         "while (entry := self._ledger.find(name)) is not None:",
         "while (entry := self._ledger.find(name)) and not entry.running:",
     ),
     Mutant(
         "a key that may have run is kept",
-        "owner/exchange.py",
-        "if not exchange.started or _was_not_run(message):",
+        "owner/keyed.py",
+        "if not asked.started or _was_not_run(message):",
         "if not isinstance(message, wire.Reply):",
     ),
     Mutant(
@@ -145,7 +145,7 @@
     ),
     Mutant(
         "the owner checks that it is home",
-        "owner/exchange.py",
+        "owner/keyed.py",
         "if self._homes.home(offer.service, name) != worker.name:",
         "if False:",
     ),
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -10,6 +10,7 @@
 
 from sardinedoor_node.limits import deadlines
 from sardinedoor_node.owner import holds
+from sardinedoor_node.owner import keyed
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.owner import seen
 from sardinedoor_node.util import digests
@@ -83,14 +84,13 @@
         """
         self._incarnation = incarnation
         self._workers = local
-        self._homes = key_homes
         self._suspects = crash_suspects
         self._metrics = counters
         self._clock = time
         self._tasks = tasks.TaskGroup()
         self._seen = seen.SeenOffers()
         self._holds = holds.HoldTable(time)
-        self._ledger = ledger.Ledger(time)
+        self._keys = keyed.KeyedRequests(key_homes, ledger.Ledger(time), time)
         self.leaving = False
 
     @property
@@ -152,50 +152,11 @@
         if self._suspects.is_refused(offer.fingerprint):
             return exchange.refuse(codes.Code.QUARANTINED)
         if offer.key and not offer.idempotent:
-            return await self._serve_keyed(exchange, worker)
+            return await self._keys.serve(
+                exchange, worker, lambda: self._reserve(exchange, worker)
+            )
         return await self._reserve(exchange, worker)
 
-    async def _serve_keyed(
-        self, exchange: Exchange, worker: workers.LocalWorker
-    ) -> _Outcome:
-        offer = exchange.offer
-        name = ledger.scope(
-            offer.team, offer.service, offer.organisation, offer.key
-        )
-        while (entry := self._ledger.find(name)) is not None:
-            if entry.fingerprint != offer.fingerprint:
-                return exchange.refuse(codes.Code.KEY_REUSED)
-            left_s = exchange.deadline - self._clock.monotonic()
-            if not await entry.wait(max(0.0, left_s)):
-                return exchange.refuse(codes.Code.REPLY_TIMEOUT)
-            if not entry.abandoned:
-                return entry.repeat(offer.id)
-        if self._homes.home(offer.service, name) != worker.name:
-            return exchange.refuse(codes.Code.NOT_HOME)
-        time_ms = ledger.key_time_ms(offer.key)
-        homed_ms = self._homes.since_ms(offer.service, name, worker.name)
-        code = self._ledger.refusal(time_ms, homed_ms)
-        if code is not None:
-            return exchange.refuse(code)
-        entry = self._ledger.begin(name, offer.fingerprint, time_ms)
-        return await self._record(exchange, worker, entry)
-
-    async def _record(
-        self,
-        exchange: Exchange,
-        worker: workers.LocalWorker,
-        entry: ledger.Entry,
-    ) -> _Outcome:
-        message = exchange.refuse(codes.Code.INTERNAL_ERROR_AFTER_RUN)
-        try:
-            message = await self._reserve(exchange, worker)
-        finally:
-            if not exchange.started or _was_not_run(message):
-                self._ledger.abandon(entry)
-            else:
-                self._ledger.finish(entry, message)
-        return message
-
     async def _reserve(
         self, exchange: Exchange, worker: workers.LocalWorker
     ) -> _Outcome:
@@ -288,13 +249,6 @@
             self._suspects.ended(service, fingerprint)
 
 
-def _was_not_run(message: _Outcome) -> bool:
-    return (
-        isinstance(message, wire.Refusal)
-        and codes.outcome(message.code) is codes.Outcome.NOT_RUN
-    )
-
-
 def _to_message(
     exchange_id: bytes, reply: target.TargetReply, load: wire.Load
 ) -> wire.Reply:
