Tell every node why a target is ejected

Cause: the evidence stood only on the owner's status page, and explain said 'ejected by its owner' on all other nodes. Ruled out: asking the owner's admin listener, which is on loopback. The record of a member now carries a line for each ejected worker, sent when the verdict changes. Before: 'ejected by its owner: ' with nothing after it (the gray test fails so with the line left out); after: passes.

--- a/packages/node/src/sardinedoor_node/admin/explain.py
+++ b/packages/node/src/sardinedoor_node/admin/explain.py
@@ -132,7 +132,7 @@
         if not self._workers.has(worker.service, worker.name):
             return "the settings don't name it"
         if worker.ejected:
-            return "ejected by its owner"
+            return f"ejected by its owner: {worker.reason}"
         return ""
 
 
--- a/packages/node/src/sardinedoor_node/health/monitor.py
+++ b/packages/node/src/sardinedoor_node/health/monitor.py
@@ -22,11 +22,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Standing:
-    """What an owner tells ingresses of a worker's health."""
+    """What an owner tells ingresses of a worker's health.
+
+    Attributes:
+        reason: Why it is ejected; empty if it isn't.
+    """
 
     ejected: bool = False
     weight: float = 1.0
     trial_in_s: float = 0.0
+    reason: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -183,7 +188,10 @@
             return Standing()
         now = self._clock.monotonic()
         return Standing(
-            judged.ejected, judged.weight(now), judged.trial_in(now)
+            judged.ejected,
+            judged.weight(now),
+            judged.trial_in(now),
+            judged.describe(),
         )
 
     def suspicions(self) -> list[Suspicion]:
--- a/packages/node/src/sardinedoor_node/health/worker.py
+++ b/packages/node/src/sardinedoor_node/health/worker.py
@@ -117,6 +117,16 @@
         """What past ejections cost."""
         return self._penalty
 
+    def describe(self) -> str:
+        """Returns why it is ejected, in words; empty if it isn't."""
+        evidence = self._evidence
+        if not self.ejected or evidence is None:
+            return ""
+        return (
+            f"{evidence.reason.value} in {evidence.bad} of"
+            f" {evidence.outcomes} requests"
+        )
+
     def configure(
         self, detector: health.Detector, rules: probation.Rules
     ) -> None:
--- a/packages/node/src/sardinedoor_node/owner/watch.py
+++ b/packages/node/src/sardinedoor_node/owner/watch.py
@@ -213,9 +213,10 @@
             await self._clock.sleep(ANNOUNCE_INTERVAL_S)
             changed = False
             for told in self._members.own.workers:
-                ejected = self._health.standing(told.name).ejected
-                changed = changed or told.ejected != ejected
-                told.ejected = ejected
+                standing = self._health.standing(told.name)
+                changed = changed or told.ejected != standing.ejected
+                told.ejected = standing.ejected
+                told.reason = standing.reason
             if changed:
                 self._members.announce()
 
--- a/tests/test_fleet/test_fleet_gray.py
+++ b/tests/test_fleet/test_fleet_gray.py
@@ -75,6 +75,7 @@
             before = len(await self._runs())
             await asyncio.sleep(_QUIET_S)
             self.assertEqual(before, len(await self._runs()))
+            self.assertIn(" requests", await self._reason())
             load.cancel()
             states = await self._states()
             others = {k: v for k, v in states.items() if k != _GRAY}
@@ -116,6 +117,16 @@
             found |= {h["worker"]: h["state"] for h in status["health"]}
         return found
 
+    async def _reason(self) -> str:
+        """Asks another node why the target gets no work."""
+        admin = self.running.plan.nodes[0].admin
+        response = await self.client.fetch(
+            f"http://{admin}/explain?method=GET&path=/permits/7"
+        )
+        explained = msgspec.json.decode(response.body)
+        reasons = {c["worker"]: c["reason"] for c in explained["candidates"]}
+        return reasons[_GRAY]
+
     async def _wait_ejected(self) -> None:
         end = time.monotonic() + _LIMIT_S
         while time.monotonic() < end:
