--- a/packages/node/src/sardinedoor_node/platform/reader.py
+++ b/packages/node/src/sardinedoor_node/platform/reader.py
@@ -6,10 +6,14 @@
 import logging
 import random
 from typing import TYPE_CHECKING
+from typing import Any
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
+    import result
+
     from sardinedoor_node.platform import client
     from sardinedoor_node.platform import election
     from sardinedoor_node.platform import listing
@@ -104,21 +108,14 @@
 
     async def watch_settings(self) -> None:
         """Follows the settings, while this node is a reader."""
-        index = 0
-        backoff = Backoff(self._clock, self._rng)
-        while True:
-            if not self._rank.is_reader():
-                await self._clock.sleep(_IDLE_S * self._rng.uniform(0.5, 1.5))
-                continue
-            answer = await self._client.settings_index(index, WATCH_S)
-            if answer.is_err():
-                self._failed(answer.unwrap_err())
-                await backoff.wait()
-                continue
-            backoff.reset()
-            self._succeeded()
-            index = answer.unwrap().index
-            self.fetch_newer(answer.unwrap())
+
+        async def ask(index: int):
+            return await self._client.settings_index(index, WATCH_S)
+
+        async def take(found: platform.SettingsIndex) -> None:
+            self.fetch_newer(found)
+
+        await self._watch(ask, take)
 
     def fetch_newer(self, index: platform.SettingsIndex) -> None:
         """Starts to fetch each subtree that is newer at the platform."""
@@ -146,13 +143,30 @@
 
     async def watch_instances(self) -> None:
         """Follows the list of instances, while this node is a reader."""
+
+        async def ask(index: int):
+            return await self._client.instances(index, WATCH_S, self._domain)
+
+        async def take(found: platform.InstanceList) -> None:
+            self._listing.take(found.instances)
+            self._listing.tick()
+            await self._clock.sleep(_LIST_GAP_S * self._rng.uniform(0.5, 1.0))
+
+        await self._watch(ask, take)
+
+    async def _watch(
+        self,
+        ask: Callable[[int], Awaitable[result.Result]],
+        take: Callable[[Any], Awaitable[None]],
+    ) -> None:
+        """Asks for what is newer than the last index, until cancelled."""
         index = 0
         backoff = Backoff(self._clock, self._rng)
         while True:
             if not self._rank.is_reader():
                 await self._clock.sleep(_IDLE_S * self._rng.uniform(0.5, 1.5))
                 continue
-            answer = await self._client.instances(index, WATCH_S, self._domain)
+            answer = await ask(index)
             if answer.is_err():
                 self._failed(answer.unwrap_err())
                 await backoff.wait()
@@ -160,9 +174,7 @@
             backoff.reset()
             self._succeeded()
             index = answer.unwrap().index
-            self._listing.take(answer.unwrap().instances)
-            self._listing.tick()
-            await self._clock.sleep(_LIST_GAP_S * self._rng.uniform(0.5, 1.0))
+            await take(answer.unwrap())
 
     def _failed(self, error: str) -> None:
         if error != self.last_error:
