--- a/packages/standins/src/sardinedoor_standins/scenario/expectations.py
+++ b/packages/standins/src/sardinedoor_standins/scenario/expectations.py
@@ -160,8 +160,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class InForce(_Everywhere):
-    """The newest edit of a team is in force on all nodes."""
+class _Edit(_Everywhere):
+    """The newest edit of a team has come to the same end on all nodes."""
 
     team: str
     limit_s: float
@@ -171,34 +171,33 @@
         revision = fleet_bench.revisions[self.team]
 
         def check(status: dict) -> bool:
-            rows = {t["team"]: t["revision"] for t in status["teams"]}
-            return rows.get(self.team) == revision
+            rows = {row["team"]: row for row in status["teams"]}
+            return self.team in rows and self._ended(rows[self.team], revision)
 
         since = fleet_bench.edited_at[self.team]
         await self._wait(fleet_bench, since, self.limit_s, check)
 
+    @abc.abstractmethod
+    def _ended(self, row: dict, revision: int) -> bool:
+        """Tells whether a team's status shows the end of the edit."""
 
-@dataclasses.dataclass(slots=True)
-class Refused(_Everywhere):
-    """The newest edit of a team is refused; the one before stays."""
 
-    team: str
-    limit_s: float
+class InForce(_Edit):
+    """The newest edit of a team is in force on all nodes."""
 
-    async def run(self, fleet_bench: bench.Bench) -> None:
-        """See base class."""
-        revision = fleet_bench.revisions[self.team]
+    def _ended(self, row: dict, revision: int) -> bool:
+        return row["revision"] == revision
 
-        def check(status: dict) -> bool:
-            row = next(t for t in status["teams"] if t["team"] == self.team)
-            return (
-                row["refused_revision"] == revision
-                and 0 < row["revision"] < revision
-                and bool(row["faults"])
-            )
 
-        since = fleet_bench.edited_at[self.team]
-        await self._wait(fleet_bench, since, self.limit_s, check)
+class Refused(_Edit):
+    """The newest edit of a team is refused; the one before stays."""
+
+    def _ended(self, row: dict, revision: int) -> bool:
+        return (
+            row["refused_revision"] == revision
+            and 0 < row["revision"] < revision
+            and bool(row["faults"])
+        )
 
 
 @dataclasses.dataclass(slots=True)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -72,7 +72,13 @@
             ],
             check=True,
         )
-        return _BYTES_DEFAULT.sub(r'\1b""', target.read_text())
+        text = _BYTES_DEFAULT.sub(r'\1b""', target.read_text())
+        # Modules are imported, not names.
+        text = text.replace(
+            "from sardinedoor_schema.base import Message",
+            "from sardinedoor_schema import base",
+        )
+        return text.replace("(Message", "(base.Message")
 
 
 def main() -> int:
