Serve the users' platform through an adapter: the whole path, thin

The product grows a directory of targets, published configuration and worker entries, spread by revision, a filter of the odds that a target is sick, a picker and a forwarder by these, a windowed retry budget, dialects, and a composition for one worker and one node. platform/ translates.

Tests of the new codes are still to come.

--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Puts the runtime libraries and the packages under target/deps, compiled.
+set -eu
+python3 -m pip install -q --upgrade -c constraints.txt \
+    --target target/deps -r platform/requirements.txt
+for package in packages/schema packages/node platform; do
+    cp -R "$package"/src/. target/deps/
+done
+python3 -m compileall -q target/deps
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/admin/ready.py
@@ -0,0 +1,34 @@
+"""The page by which callers are told whether to use this node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tornado import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class _ReadyHandler(web.RequestHandler):
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        self.set_status(200 if self._is_ready() else 503)
+        self.finish()
+
+
+def make_application(
+    path: str, is_ready: Callable[[], bool]
+) -> web.Application:
+    """Builds the application of the readiness listener.
+
+    Args:
+        path: Path of the page.
+        is_ready: Tells whether the node takes requests.
+    """
+    return web.Application(
+        [(path, _ReadyHandler, {"is_ready": is_ready})],
+        log_function=lambda handler: None,
+    )
--- a/packages/node/src/sardinedoor_node/admin/server.py
+++ b/packages/node/src/sardinedoor_node/admin/server.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from aioprometheus import renderer
 import msgspec
 from tornado import web
 
 from sardinedoor_node.admin import explain
+from sardinedoor_node.admin import metricspage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,18 +16,6 @@
     from aioprometheus import collectors
 
 
-class _MetricsHandler(web.RequestHandler):
-    def initialize(self, registry: collectors.Registry) -> None:
-        self._registry = registry
-
-    def get(self) -> None:
-        accepts = self.request.headers.get_list("Accept")
-        content, found = renderer.render(self._registry, accepts)
-        for name, value in found.items():
-            self.set_header(name, value)
-        self.finish(content)
-
-
 class _StatusHandler(web.RequestHandler):
     def initialize(self, status: Callable[[], object]) -> None:
         self._status = status
@@ -67,7 +55,7 @@
     """
     return web.Application(
         [
-            ("/metrics", _MetricsHandler, {"registry": registry}),
+            ("/metrics", metricspage.MetricsHandler, {"registry": registry}),
             ("/status", _StatusHandler, {"status": status}),
             ("/explain", _ExplainHandler, {"answer": answer}),
         ],
--- a/packages/node/src/sardinedoor_node/drain.py
+++ b/packages/node/src/sardinedoor_node/drain.py
@@ -90,3 +90,61 @@
             and self._server.busy == 0
             and self._owner.busy == 0
         )
+
+
+class ReadinessDrain:
+    """Ends a node whose callers move away once it says it isn't ready.
+
+    Until they have noticed, connections are accepted and requests served.
+    """
+
+    def __init__(
+        self,
+        leave: Callable[[], None],
+        owner: exchange.Owner,
+        listeners: server.Server,
+        time: clock.Clock,
+    ):
+        """Prepares the stop.
+
+        Args:
+            leave: Says that the node isn't ready, and tells its peers.
+            owner: Refuses new offers once the node is leaving.
+            listeners: The callers' connections.
+            time: Paces the waiting.
+        """
+        self._leave = leave
+        self._owner = owner
+        self._server = listeners
+        self._clock = time
+
+    async def run(self, notice_s: float, limit_s: float) -> None:
+        """Drains the node.
+
+        Args:
+            notice_s: Time in which callers notice, in s.
+            limit_s: Longest time in all, in s.
+        """
+        begun = self._clock.monotonic()
+        logger.info("draining")
+        self._owner.leaving = True
+        self._leave()
+        await self._clock.sleep(min(notice_s, limit_s))
+        await self._server.stop_accepting()
+        while self._clock.monotonic() - begun < limit_s:
+            self._server.close_idle(0.0)
+            if not (
+                self._server.connections
+                or self._server.busy
+                or self._owner.busy
+            ):
+                logger.info("drained")
+                return
+            await self._clock.sleep(POLL_S)
+        logger.warning(
+            "drain limit reached",
+            extra={
+                "requests": self._server.busy,
+                "exchanges": self._owner.busy,
+            },
+        )
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -14,7 +14,6 @@
 
 if TYPE_CHECKING:
     from sardinedoor_node import link
-    from sardinedoor_node.ingress import routes
     from sardinedoor_node.util import clock
     from sardinedoor_schema import base
 
@@ -24,14 +23,35 @@
 
 @dataclasses.dataclass(slots=True)
 class Job:
-    """A request on its way; the deadline is monotonic, in s."""
+    """A request on its way.
+
+    Attributes:
+        request: What the target is to get.
+        service: Which service is to run it.
+        idempotent: Whether it may run more than once.
+        deadline: When its caller stops waiting, monotonic, in s.
+        organisation: On whose behalf it is made.
+        key: Idempotency key, empty for none.
+        priority: Higher goes first.
+        team: Owner of the route.
+        revision: Revision of the settings that the route comes from.
+        objective_s: Time within which an answer has its full value, in s.
+        max_runs: Workers on which it may run at most.
+        committed: Whether work that isn't idempotent may have begun.
+    """
 
     request: wire.Request
-    route: routes.Route
+    service: str
     idempotent: bool
     deadline: float
     organisation: str = ""
     key: str = ""
+    priority: int = 0
+    team: str = ""
+    revision: int = 0
+    objective_s: float = 0.0
+    max_runs: int = 1
+    committed: bool = False
 
     @property
     def keyed(self) -> bool:
@@ -90,7 +110,11 @@
             return await self._hold()
         if not await self._send_offer():
             return self._refused(codes.Code.LINK_DOWN)
-        return await self._reply()
+        try:
+            return await self._reply()
+        except asyncio.CancelledError:
+            self._channel.send(wire.Cancel(self._offer.id))
+            raise
 
     async def _send_offer(self) -> bool:
         """Sends the offer, after a wait if the link is only being opened."""
@@ -157,6 +181,7 @@
     def _go(self, held: wire.Held) -> bool:
         remaining_ms = int(self._remaining() * 1000)
         self._ticket = held.ticket
+        self._job.committed = True
         return self._channel.send(
             wire.Go(
                 self._offer.id, held.ticket, remaining_ms, self._job.request
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -2,26 +2,23 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from sardinedoor_node import picking
 from sardinedoor_node.health import worker
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import avoid
-from sardinedoor_node.ingress import feedback
+from sardinedoor_node.ingress import offers
 from sardinedoor_node.limits import retries
 from sardinedoor_node.owner import ledger
-from sardinedoor_node.util import digests
 from sardinedoor_schema import codes
-from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from sardinedoor_node import directory
     from sardinedoor_node import link
     from sardinedoor_node import metrics
     from sardinedoor_node.ingress import exchanges
     from sardinedoor_node.ingress import holding
-    from sardinedoor_node.membership import table
     from sardinedoor_node.owner import homes
     from sardinedoor_node.util import clock
 
@@ -69,7 +66,7 @@
 
     def __init__(
         self,
-        members: table.MemberTable,
+        members: directory.Directory,
         transport: link.Transport,
         picker: picking.Picker,
         open_exchanges: exchanges.ExchangeTable,
@@ -79,11 +76,11 @@
         time: clock.Clock,
     ):
         self._members = members
-        self._transport = transport
         self._picker = picker
-        self._exchanges = open_exchanges
+        self._offers = offers.Offers(
+            members, transport, picker, open_exchanges, policy, time
+        )
         self._homes = key_homes
-        self._policy = policy
         self._metrics = counters
         self._clock = time
         self._budgets = retries.RetryBudgets()
@@ -101,13 +98,13 @@
         """
         if job.keyed:
             return await self._forward_home(job)
-        budget = self._budgets.of(job.route.settings.service)
+        budget = self._budgets.of(job.service)
         course = _Course(self._avoided.current(self._clock.monotonic()))
         for _ in range(_MAX_PICKS):
             choice = self._choose(job, course)
             if choice is None:
                 break
-            course.add(choice, await self._attempt(job, choice))
+            course.add(choice, await self._offers.make(job, choice))
             if not self._goes_on(job, course, budget):
                 break
             self._metrics.retry(course.last.code.name.lower())
@@ -122,7 +119,7 @@
         if self._remaining(job) <= 0:
             course.last = Forwarded(codes.Code.DEADLINE_EXPIRED)
             return None
-        candidates = self._members.targets(job.route.settings.service)
+        candidates = self._members.targets(job.service)
         choice = self._picker.pick(candidates, course.tried, job.idempotent)
         if choice is not None and choice.rotation is not worker.Rotation.IN:
             self._metrics.event(f"offered_as_{choice.rotation.value}")
@@ -147,76 +144,18 @@
     async def _forward_home(self, job: Job) -> Forwarded:
         if not ledger.is_valid(job.key):
             return Forwarded(codes.Code.KEY_INVALID)
-        service = job.route.settings.service
-        name = ledger.scope(job.route.team, service, job.organisation, job.key)
+        service = job.service
+        name = ledger.scope(job.team, service, job.organisation, job.key)
         home = self._homes.home(service, name)
         for target in self._members.targets(service):
             if target.worker == home:
                 choice = picking.Choice(target)
-                return _at_home(await self._attempt(job, choice))
+                return _at_home(await self._offers.make(job, choice))
         return Forwarded(codes.Code.HOME_UNREACHABLE)
 
     def _remaining(self, job: Job) -> float:
         return job.deadline - self._clock.monotonic()
 
-    async def _attempt(self, job: Job, choice: picking.Choice) -> Forwarded:
-        target = choice.target
-        entry = self._members.entries[target.node]
-        channel = self._transport.connect(entry.name, entry.link)
-        exchange_id, inbox = self._exchanges.open()
-        offer = self._offer(job, target, exchange_id)
-        offer.rotation = choice.rotation.value
-        hold = self._holds(job, channel)
-        if not hold:
-            offer.request = job.request
-            offer.owner = entry.member.incarnation
-        started = attempt.Attempt(job, offer, channel, inbox, self._clock)
-        token = self._picker.started(target)
-        outcome = None
-        incarnation = entry.incarnation
-        try:
-            outcome = await started.run(hold)
-            if outcome.code == codes.Code.NODE_LEAVING:
-                self._learn_leaving(entry, incarnation)
-            return outcome
-        finally:
-            self._exchanges.close(exchange_id)
-            heard = self._exchanges.heard(channel)
-            self._picker.finished(target, token, feedback.of(outcome, heard))
-
-    def _learn_leaving(self, entry: table.Entry, incarnation: bytes) -> None:
-        # An answer of an earlier run says nothing of the present one.
-        if entry.incarnation == incarnation:
-            self._members.mark_leaving(entry.name, "refused as leaving")
-
-    def _holds(self, job: Job, channel: link.Channel) -> bool:
-        if job.idempotent:
-            return False
-        heard = self._exchanges.heard(channel)
-        heard_s = math.inf
-        if heard is not None:
-            heard_s = self._clock.monotonic() - heard
-        return job.keyed or self._policy.holds(heard_s)
-
-    def _offer(
-        self, job: Job, target: table.Target, exchange_id: bytes
-    ) -> wire.Offer:
-        return wire.Offer(
-            id=exchange_id,
-            service=target.service,
-            worker=target.worker,
-            remaining_ms=max(0, int(self._remaining(job) * 1000)),
-            idempotent=job.idempotent,
-            organisation=job.organisation,
-            priority=job.route.settings.priority,
-            key=job.key,
-            team=job.route.team,
-            revision=job.route.revision,
-            fingerprint=digests.of_request(
-                target.service, job.organisation, job.request
-            ),
-        )
-
 
 def _without_budget(last: Forwarded) -> Forwarded:
     if codes.outcome(last.code) is codes.Outcome.NOT_RUN:
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -6,8 +6,6 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from tornado import httputil
-
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import headers
 from sardinedoor_node.ingress import paths
@@ -118,13 +116,16 @@
             timeout_s = min(timeout_s, asked)
         job = forward.Job(
             request=_to_wire(request, request_id),
-            route=route,
+            service=route.settings.service,
             idempotent=route.is_idempotent(request.method),
             deadline=self._clock.monotonic() + timeout_s,
             organisation=request.headers.get(headers.ORGANISATION, "")[
                 : headers.MAX_ORGANISATION_CHARS
             ],
             key=request.headers.get(headers.IDEMPOTENCY_KEY, ""),
+            priority=route.settings.priority,
+            team=route.team,
+            revision=route.revision,
         )
         try:
             return await self._forwarder.forward(job)
@@ -165,7 +166,7 @@
         if reply is not None:
             status = reply.status
             body = reply.body
-            response = _reply_headers(reply)
+            response = responses.reply_headers(reply)
         else:
             status = codes.http_status(outcome.code)
             body = responses.body(outcome.code)
@@ -176,7 +177,7 @@
             response[headers.TARGET] = outcome.worker
         if self._server.draining:
             request.connection.close_after()
-        _write(request, status, response, body)
+        responses.write(request, status, response, body)
 
 
 def _to_wire(request: requests.Request, request_id: str) -> wire.Request:
@@ -190,37 +191,3 @@
     if request.public:
         passed = headers.from_outside(passed, request.remote_ip, request.secure)
     return wire.Request(request.method, target.wire, passed, request.body)
-
-
-def _reply_headers(reply: wire.Reply) -> httputil.HTTPHeaders:
-    received = httputil.HTTPHeaders()
-    for header in reply.headers:
-        received.add(header.name, header.value)
-    passed = httputil.HTTPHeaders()
-    for header in headers.end_to_end(received):
-        passed.add(header.name, header.value)
-    length = received.get("Content-Length", "")
-    if not reply.body and length.isascii() and length.isdigit():
-        passed["Content-Length"] = length
-    return passed
-
-
-def _write(
-    request: requests.Request,
-    status: int,
-    response: httputil.HTTPHeaders,
-    body: bytes,
-) -> None:
-    connection = request.connection
-    if connection.stream is None or connection.stream.closed():
-        return
-    if status in (204, 304) or request.method == "HEAD":
-        # The length that a target names for a HEAD or 304 is kept as it is.
-        body = b""
-    else:
-        response["Content-Length"] = str(len(body))
-    line = httputil.ResponseStartLine(
-        "HTTP/1.1", status, responses.reason(status)
-    )
-    connection.write_headers(line, response, body)
-    connection.finish()
--- a/packages/node/src/sardinedoor_node/ingress/reader.py
+++ b/packages/node/src/sardinedoor_node/ingress/reader.py
@@ -17,8 +17,6 @@
     from sardinedoor_node.ingress import server
     from sardinedoor_node.util import clock
 
-MAX_BODY_BYTES = 1024 * 1024
-
 
 class State(enum.Enum):
     """What a connection is doing."""
@@ -100,14 +98,14 @@
         self._request = request
         request.refusal = self._server.check(self._own, request)
         length = headers.get("Content-Length", "")
-        if length and int(length) > MAX_BODY_BYTES:
+        if length and int(length) > self._server.max_body_bytes:
             self._http.refuse_body(codes.Code.BODY_TOO_LARGE)
         elif request.refusal is not None and "Expect" in headers:
             self._http.refuse_body(request.refusal)
 
     def data_received(self, chunk: bytes) -> None:
         """See base class."""
-        if len(self._chunks) + len(chunk) > MAX_BODY_BYTES:
+        if len(self._chunks) + len(chunk) > self._server.max_body_bytes:
             raise heads.HeadError(codes.Code.BODY_TOO_LARGE)
         if not self._server.take_bytes(len(chunk)):
             raise heads.HeadError(codes.Code.BODIES_OVER_LIMIT)
--- a/packages/node/src/sardinedoor_node/ingress/requests.py
+++ b/packages/node/src/sardinedoor_node/ingress/requests.py
@@ -6,6 +6,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+MAX_BODY_BYTES = 1024 * 1024
+
 if TYPE_CHECKING:
     from tornado import httputil
 
@@ -49,6 +51,11 @@
 class Handler(abc.ABC):
     """Serves requests."""
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body of a request that is read."""
+        return MAX_BODY_BYTES
+
     @abc.abstractmethod
     def check(self, request: Request) -> codes.Code | None:
         """Checks a request from its head alone; returns a refusal."""
--- a/packages/node/src/sardinedoor_node/ingress/server.py
+++ b/packages/node/src/sardinedoor_node/ingress/server.py
@@ -86,6 +86,11 @@
         )
         return reading + len(self._requests)
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body of a request that is read."""
+        return self._handler.max_body_bytes
+
     @property
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sardinedoor_node import directory
 from sardinedoor_node import membership
 from sardinedoor_node.membership import entries
 from sardinedoor_node.membership import records
@@ -39,7 +40,7 @@
     expires: float
 
 
-class MemberTable:
+class MemberTable(directory.Directory):
     """Members that are listed or were heard of, and the node itself."""
 
     def __init__(self, own: wire.Member, time: clock.Clock | None = None):
@@ -66,6 +67,11 @@
         """The node's own record."""
         return self._own
 
+    @property
+    def own_name(self) -> str:
+        """See base class."""
+        return self._own.name
+
     @property
     def entries(self) -> dict[str, Entry]:
         """All known members by name."""
@@ -99,9 +105,22 @@
         return [e for e in self._entries.values() if e.name != self._own.name]
 
     def targets(self, service: str) -> list[Target]:
-        """Lists the workers of a service that usable members own."""
+        """See base class; these are the workers that usable members own."""
         return self._narrow(service, self._index.targets(service))
 
+    def peer(self, name: str) -> directory.Peer | None:
+        """See base class."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        return directory.Peer(entry.name, entry.link, entry.incarnation)
+
+    def refused_as_leaving(self, peer: directory.Peer) -> None:
+        """See base class; the word of an earlier run says nothing."""
+        entry = self._entries.get(peer.name)
+        if entry is not None and entry.incarnation == peer.incarnation:
+            self.mark_leaving(peer.name, "refused as leaving")
+
     def narrow_by(self, narrow: Narrow) -> None:
         """Sets what narrows the targets of each service."""
         self._narrow = narrow
--- a/packages/node/src/sardinedoor_node/membership/targets.py
+++ b/packages/node/src/sardinedoor_node/membership/targets.py
@@ -19,6 +19,7 @@
     node: str
     ejected: bool
     failure_domain: str = ""
+    slots: int = 3
 
 
 class TargetIndex:
--- a/packages/node/src/sardinedoor_node/metrics.py
+++ b/packages/node/src/sardinedoor_node/metrics.py
@@ -7,6 +7,9 @@
 
 from sardinedoor_schema import codes
 
+# Up to the longest deadline that users have stated, in s.
+_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0]
+
 
 class Metrics:
     """All metrics of one node, in a registry of its own."""
@@ -35,6 +38,13 @@
             registry=self.registry,
         )
 
+        self._took = aioprometheus.Histogram(
+            "sardinedoor_request_seconds",
+            "Time from a whole request to its answer, in s.",
+            registry=self.registry,
+            buckets=_BUCKETS_S,
+        )
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
 
@@ -47,6 +57,10 @@
         }
         self._results.inc(labels)
 
+    def took(self, seconds: float) -> None:
+        """Counts the time that a request took, in s."""
+        self._took.observe({}, seconds)
+
     def retry(self, reason: str) -> None:
         """Counts a further attempt."""
         self._retries.inc({"reason": reason})
--- a/packages/node/src/sardinedoor_node/owner/__init__.py
+++ b/packages/node/src/sardinedoor_node/owner/__init__.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from sardinedoor_node.owner import target
+    from sardinedoor_node.owner import workers
     from sardinedoor_schema.generated import wire
 
 
@@ -36,3 +37,26 @@
     @abc.abstractmethod
     def close(self) -> None:
         """Closes all kept connections."""
+
+
+class Gate(abc.ABC):
+    """Lets the health of workers decide on offers."""
+
+    @abc.abstractmethod
+    def admits(self, offer: wire.Offer) -> bool:
+        """Tells whether a worker takes an offer."""
+
+    @abc.abstractmethod
+    def describe(self, name: str, load: wire.Load) -> None:
+        """Adds a worker's health to what ingresses hear of its load."""
+
+
+class WorkerFinder(abc.ABC):
+    """Finds the node's own workers; a dictionary by name is one."""
+
+    @abc.abstractmethod
+    def get(self, name: str) -> workers.LocalWorker | None:
+        """Returns a worker by name, None if the node doesn't own it."""
+
+
+WorkerFinder.register(dict)
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
 import msgspec
 import result
 
-from sardinedoor_node.limits import deadlines
+from sardinedoor_node.owner import dialect
 from sardinedoor_node.owner import holds
 from sardinedoor_node.owner import keyed
 from sardinedoor_node.owner import ledger
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from sardinedoor_node import link
     from sardinedoor_node import metrics
+    from sardinedoor_node import owner
     from sardinedoor_node.owner import homes
     from sardinedoor_node.owner import suspects
     from sardinedoor_node.owner import target
@@ -66,22 +68,28 @@
     def __init__(
         self,
         incarnation: bytes,
-        local: dict[str, workers.LocalWorker],
-        key_homes: homes.Homes,
+        local: owner.WorkerFinder,
+        key_homes: homes.Homes | None,
         crash_suspects: suspects.Suspects,
         counters: metrics.Metrics,
         time: clock.Clock,
+        target_dialect: dialect.TargetDialect | None = None,
     ):
         """Starts with nothing running.
 
         Args:
             incarnation: Random bytes that no other process has.
             local: The node's own workers by name.
-            key_homes: Which worker is home to a key.
+            key_homes: Which worker is home to a key; None where callers
+                send no keys.
             crash_suspects: Requests that may have crashed targets.
             counters: Where events are counted.
             time: The clock.
+            target_dialect: How requests are put to targets; by default
+                plain.
         """
+        self._dialect = target_dialect or dialect.PlainDialect()
+        self._running: dict[bytes, asyncio.Task] = {}
         self._incarnation = incarnation
         self._workers = local
         self._suspects = crash_suspects
@@ -90,7 +98,11 @@
         self._tasks = tasks.TaskGroup()
         self._seen = seen.SeenOffers()
         self._holds = holds.HoldTable(time)
-        self._keys = keyed.KeyedRequests(key_homes, ledger.Ledger(time), time)
+        self._keys: keyed.KeyedRequests | None = None
+        if key_homes is not None:
+            self._keys = keyed.KeyedRequests(
+                key_homes, ledger.Ledger(time), time
+            )
         self.leaving = False
 
     @property
@@ -109,7 +121,12 @@
             return
         deadline = self._clock.monotonic() + offer.remaining_ms / 1000
         exchange = Exchange(channel, offer, deadline)
-        self._tasks.spawn(self._serve(exchange), "exchange")
+        task = self._tasks.spawn(self._serve(exchange), "exchange")
+        if offer.idempotent:
+            self._running[offer.id] = task
+            task.add_done_callback(
+                lambda task: self._running.pop(offer.id, None)
+            )
 
     def on_go(self, channel: link.Channel, go: wire.Go) -> None:
         """Hands a go to the exchange that holds its ticket."""
@@ -124,10 +141,13 @@
         self._metrics.dropped("go_without_ticket")
 
     def on_cancel(self, channel: link.Channel, cancel: wire.Cancel) -> None:
-        """Frees the slot of an offer that won't be followed by go."""
+        """Ends an offer that isn't followed by go, or an idempotent run."""
         del channel
         self._seen.add(cancel.id)
         self._holds.cancel(cancel.id)
+        running = self._running.get(cancel.id)
+        if running is not None:
+            running.cancel()
 
     async def _serve(self, exchange: Exchange) -> None:
         try:
@@ -151,7 +171,7 @@
             return exchange.refuse(codes.Code.TARGET_LEAVING)
         if self._suspects.is_refused(offer.fingerprint):
             return exchange.refuse(codes.Code.QUARANTINED)
-        if offer.key and not offer.idempotent:
+        if offer.key and not offer.idempotent and self._keys is not None:
             return await self._keys.serve(
                 exchange, worker, lambda: self._reserve(exchange, worker)
             )
@@ -221,7 +241,7 @@
             return exchange.refuse(codes.Code.DEADLINE_EXPIRED)
         self._suspects.begin(offer.service, fingerprint, remaining_s)
         exchange.started = True
-        timed = deadlines.with_remaining(request, remaining_s)
+        timed = self._dialect.prepare(request, offer.worker, remaining_s)
         reply = await worker.client.run(timed, offer.idempotent, remaining_s)
         worker.heard(reply, self._clock.monotonic())
         await self._note_end(offer.service, worker, fingerprint, reply.code)
--- a/packages/node/src/sardinedoor_node/owner/gate.py
+++ b/packages/node/src/sardinedoor_node/owner/gate.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import owner
 from sardinedoor_node.health import worker
 from sardinedoor_node.picking import floor
 
@@ -14,7 +15,7 @@
     from sardinedoor_schema.generated import wire
 
 
-class Gate:
+class Gate(owner.Gate):
     """Admits offers to the node's own workers by their health."""
 
     def __init__(
--- a/packages/node/src/sardinedoor_node/owner/notices.py
+++ b/packages/node/src/sardinedoor_node/owner/notices.py
@@ -7,8 +7,8 @@
 from sardinedoor_node.util import tasks
 
 if TYPE_CHECKING:
+    from sardinedoor_node import directory
     from sardinedoor_node import link
-    from sardinedoor_node.membership import table
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import wire
 
@@ -21,7 +21,7 @@
 
     def __init__(
         self,
-        members: table.MemberTable,
+        members: directory.Directory,
         transport: link.Transport,
         time: clock.Clock,
     ):
@@ -51,8 +51,9 @@
 
     def _send(self, notice: wire.CrashNotice) -> None:
         nodes = {t.node for t in self._members.targets(notice.service)}
-        nodes.discard(self._members.own.name)
+        nodes.discard(self._members.own_name)
         for name in nodes:
-            entry = self._members.entries[name]
-            channel = self._transport.connect(entry.name, entry.link)
-            channel.send(notice)
+            peer = self._members.peer(name)
+            if peer is not None:
+                channel = self._transport.connect(peer.name, peer.link)
+                channel.send(notice)
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import socket
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from tornado import iostream
 
 from sardinedoor_node import owner
+from sardinedoor_node.owner import dialect
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -25,6 +27,20 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
+# Answers of earlier requests that may come before the one awaited.
+_MAX_FOREIGN = 3
+_ON_CONNECTION = frozenset(
+    {
+        codes.Code.TARGET_TIMEOUT,
+        codes.Code.TARGET_CONNECTION_LOST,
+        codes.Code.REPLY_TRUNCATED,
+    }
+)
+_PARAMETERS = http1connection.HTTP1ConnectionParameters(
+    chunk_size=_CHUNK_BYTES,
+    max_header_size=MAX_HEADER_BYTES,
+    max_body_size=MAX_REPLY_BYTES,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +73,7 @@
         self.headers = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
         self.finished = False
+        self.closes = False
 
     def headers_received(
         self,
@@ -73,6 +90,23 @@
         self.finished = True
 
 
+@dataclasses.dataclass(slots=True)
+class _Idle:
+    """A kept connection; times are the loop's, in s."""
+
+    stream: iostream.IOStream
+    since: float
+    until: float
+
+
+def _is_framed(collector: _Collector) -> bool:
+    """Tells whether an answer's end is marked by other than a close."""
+    if collector.status in (204, 304):
+        return True
+    fields = collector.headers
+    return "Content-Length" in fields or "Transfer-Encoding" in fields
+
+
 class TargetClient(owner.Client):
     """Connections to one worker.
 
@@ -82,17 +116,31 @@
     fresh one.
     """
 
-    def __init__(self, address: str):
+    def __init__(
+        self,
+        address: str,
+        target_dialect: dialect.TargetDialect | None = None,
+        reuse_s: float = 0.0,
+        silent_s: float = SILENT_S,
+    ):
         """Remembers the address.
 
         Args:
             address: IP number and port of the worker.
+            target_dialect: How answers are read; by default plain.
+            reuse_s: Longest idle time, in s, after which a connection may
+                carry a request that isn't idempotent; 0 for never.
+            silent_s: Silence on a kept connection, in s, after which an
+                idempotent request is sent again on a fresh one.
         """
+        self._dialect = target_dialect or dialect.PlainDialect()
+        self._reuse_s = reuse_s
+        self._silent_s = silent_s
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
         self._address = address
-        self._idle: list[iostream.IOStream] = []
+        self._idle: list[_Idle] = []
         self.max_idle = DEFAULT_MAX_IDLE
         self._slow_until = 0.0
 
@@ -102,14 +150,14 @@
         """See base class."""
         now = asyncio.get_running_loop().time()
         deadline = now + remaining_s
-        stream = self._take_idle() if idempotent else None
+        stream = self._take_idle(math.inf if idempotent else self._reuse_s)
         if stream is None:
             return await self._run_fresh(request, deadline)
         silent = deadline
         if now >= self._slow_until:
-            silent = min(deadline, now + SILENT_S)
+            silent = min(deadline, now + self._silent_s)
         reply = await self._run_on(stream, request, silent)
-        if reply.code == codes.Code.ANSWERED:
+        if reply.code not in _ON_CONNECTION:
             return reply
         reply.suspects_connection = True
         if reply.code != codes.Code.TARGET_TIMEOUT:
@@ -153,11 +201,16 @@
             stream.close()
             raise
 
-    def _take_idle(self) -> iostream.IOStream | None:
+    def _take_idle(self, longest_s: float) -> iostream.IOStream | None:
+        now = asyncio.get_running_loop().time()
         while self._idle:
-            stream = self._idle.pop()
-            if not stream.closed():
-                return stream
+            kept = self._idle[-1]
+            if kept.stream.closed() or now >= kept.until:
+                self._idle.pop().stream.close()
+            elif now - kept.since >= longest_s:
+                return None
+            else:
+                return self._idle.pop().stream
         return None
 
     async def _connect(self, timeout_s: float) -> iostream.IOStream | None:
@@ -176,29 +229,45 @@
     async def _exchange(
         self, stream: iostream.IOStream, request: wire.Request
     ) -> TargetReply:
-        connection = http1connection.HTTP1Connection(
-            stream,
-            True,
-            http1connection.HTTP1ConnectionParameters(
-                chunk_size=_CHUNK_BYTES,
-                max_header_size=MAX_HEADER_BYTES,
-                max_body_size=MAX_REPLY_BYTES,
-            ),
+        connection = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+        line = httputil.RequestStartLine(
+            request.method, request.path, "HTTP/1.1"
         )
+        # An early answer may come before a long body is read.
+        written = connection.write_headers(
+            line, self._headers(request), request.body or None
+        )
+        written.add_done_callback(lambda f: f.cancelled() or f.exception())
+        connection.finish()
+        collector = await self._read(connection)
+        for _ in range(_MAX_FOREIGN):
+            if not collector.finished or self._dialect.is_answer(
+                request, collector.headers
+            ):
+                break
+            collector = await self._read(
+                http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+            )
+        else:
+            collector.finished = False
+        if not written.done():
+            collector.closes = True
+        return self._result(stream, collector)
+
+    async def _read(
+        self, connection: http1connection.HTTP1Connection
+    ) -> _Collector:
+        stream = connection.stream
         collector = _Collector()
         try:
-            await connection.write_headers(
-                httputil.RequestStartLine(
-                    request.method, request.path, "HTTP/1.1"
-                ),
-                self._headers(request),
-                request.body or None,
-            )
-            connection.finish()
             await connection.read_response(collector)
         except (OSError, iostream.StreamClosedError, httputil.HTTPInputError):
             collector.finished = False
-        return self._result(stream, collector)
+        if collector.finished and not _is_framed(collector):
+            # The library takes a reset for the end of the answer.
+            collector.finished = stream.error is None
+            collector.closes = True
+        return collector
 
     def _headers(self, request: wire.Request) -> httputil.HTTPHeaders:
         headers = httputil.HTTPHeaders()
@@ -219,12 +288,14 @@
             return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
         connection = collector.headers.get("Connection", "")
         full = len(self._idle) >= self.max_idle
-        if full or connection.lower() == "close":
+        if full or collector.closes or connection.lower() == "close":
             stream.close()
         elif not stream.closed():
-            self._idle.append(stream)
+            now = asyncio.get_running_loop().time()
+            until = now + self._dialect.keep_idle_s(collector.headers)
+            self._idle.append(_Idle(stream, now, until))
         return TargetReply(
-            codes.Code.ANSWERED,
+            self._dialect.judge(collector.status, collector.headers),
             status=collector.status,
             headers=collector.headers,
             body=b"".join(collector.chunks),
@@ -243,6 +314,6 @@
 
     def close(self) -> None:
         """See base class."""
-        for stream in self._idle:
-            stream.close()
+        for kept in self._idle:
+            kept.stream.close()
         self._idle.clear()
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -14,7 +14,6 @@
 
 if TYPE_CHECKING:
     from sardinedoor_node import owner
-    from sardinedoor_node.owner import gate
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import settings
 
@@ -56,7 +55,17 @@
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
         )
         self._probes = target.TargetClient(worker.address)
-        self.gate: gate.Gate | None = None
+        self.gate: owner.Gate | None = None
+
+    def take_over(self, earlier: LocalWorker) -> None:
+        """Shares the slots of an earlier worker at the same address."""
+        self._admission = earlier._admission
+        earlier.client.close()
+
+    def resize(self, slots: int, time: clock.Clock) -> None:
+        """Changes how many requests run at once."""
+        if slots != self._admission.slots:
+            self._admission.resize(slots, time.monotonic())
 
     @property
     def in_flight(self) -> int:
@@ -109,8 +118,7 @@
         idle, as far as the limit of connections allows.
         """
         slots = min(service.slots, service.connections)
-        if slots != self._admission.slots:
-            self._admission.resize(slots, time.monotonic())
+        self.resize(slots, time)
         self.client.max_idle = min(slots, service.connections - slots)
 
     async def admit(
--- a/packages/node/src/sardinedoor_node/picking/__init__.py
+++ b/packages/node/src/sardinedoor_node/picking/__init__.py
@@ -45,6 +45,11 @@
             The choice, or None if no target is left.
         """
 
+    def sick(self, target: table.Target) -> float:
+        """Returns the odds that a target is sick, as far as known here."""
+        del target
+        return 0.0
+
     @abc.abstractmethod
     def started(self, target: table.Target) -> float:
         """Counts a request sent; returns a token for `finished`."""
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/published/spread.py
@@ -0,0 +1,140 @@
+"""Spreads what is published among peers, also to those cut off from it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from sardinedoor_node import published
+from sardinedoor_schema.generated import wire
+
+if TYPE_CHECKING:
+    import random
+
+    from sardinedoor_node import link
+    from sardinedoor_node.published import catalog
+    from sardinedoor_node.published import fleet
+    from sardinedoor_node.util import clock
+
+logger = logging.getLogger(__name__)
+
+# News reach a failure domain of ten nodes within a second this way.
+INTERVAL_S = 0.3
+# One digest in so many crosses to another failure domain.
+FAR_EVERY = 4
+# A digest tells this peer at most so often that it is behind.
+_NAME_SUFFIX = "/digests"
+
+
+class Spread:
+    """Compares revisions with random peers and hands over what they lack."""
+
+    def __init__(
+        self,
+        own_link: str,
+        failure_domain: str,
+        copy: catalog.Catalog,
+        known: fleet.PublishedDirectory,
+        transport: link.Transport,
+        time: clock.Clock,
+        rng: random.Random,
+    ):
+        """Remembers its parts; nothing is sent yet.
+
+        Args:
+            own_link: Link address of this node.
+            failure_domain: Where this node is.
+            copy: What is published.
+            known: The peers.
+            transport: The node's links.
+            time: The clock.
+            rng: Chooses peers.
+        """
+        self._own_link = own_link
+        self._domain = failure_domain
+        self._catalog = copy
+        self._fleet = known
+        self._transport = transport
+        self._clock = time
+        self._rng = rng
+        self._met: dict[str, float] = {}
+        self._turn = 0
+        self.leaving = False
+        register = transport.on_message
+        register(wire.Digest, self._on_digest)
+        register(wire.ItemsPull, self._on_pull)
+        register(wire.Items, self._on_items)
+
+    async def run(self) -> None:
+        """Sends digests until cancelled."""
+        while True:
+            await self._clock.sleep(INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            name = self._choose()
+            if name:
+                self._send(name)
+
+    def announce(self) -> None:
+        """Tells all peers at once, for a planned stop or a start."""
+        near, far = self._fleet.neighbours(self._domain)
+        for name in [*near, *far]:
+            self._send(name)
+
+    def _choose(self) -> str:
+        near, far = self._fleet.neighbours(self._domain)
+        if not near and not far:
+            near = list(self._met)
+        self._turn += 1
+        if far and (not near or self._turn % FAR_EVERY == 0):
+            return self._rng.choice(far)
+        return self._rng.choice(near) if near else ""
+
+    def _send(self, name: str) -> None:
+        channel = self._transport.connect(name, name)
+        channel.send(self._digest())
+
+    def _digest(self) -> wire.Digest:
+        return wire.Digest(
+            self._own_link,
+            self._catalog.revision,
+            self._contact_ms(),
+            self.leaving,
+        )
+
+    def _contact_ms(self) -> int:
+        return int(min(self._catalog.contact_age_s, 1e6) * 1000)
+
+    def _on_digest(self, channel: link.Channel, digest: wire.Digest) -> None:
+        self._met[digest.link] = self._clock.monotonic()
+        if digest.leaving:
+            self._fleet.leaving(digest.link)
+        else:
+            self._fleet.staying(digest.link)
+        own = self._catalog.revision
+        if digest.revision > own:
+            channel.send(wire.ItemsPull(own))
+        elif digest.revision < own:
+            self._hand_over(channel, digest.revision)
+        else:
+            self._catalog.confirmed(digest.contact_ms / 1000)
+
+    def _on_pull(self, channel: link.Channel, pull: wire.ItemsPull) -> None:
+        if pull.revision < self._catalog.revision:
+            self._hand_over(channel, pull.revision)
+
+    def _hand_over(self, channel: link.Channel, revision: int) -> None:
+        changes = self._catalog.changes_after(revision)
+        channel.send(
+            wire.Items(
+                changes.revision,
+                self._contact_ms(),
+                changes.whole,
+                changes.items,
+            )
+        )
+
+    def _on_items(self, channel: link.Channel, items: wire.Items) -> None:
+        del channel
+        changes = published.Changes(items.revision, items.items, items.whole)
+        self._catalog.take(changes, "peer")
+        if self._catalog.revision == items.revision:
+            self._catalog.confirmed(items.contact_ms / 1000)
--- a/packages/node/src/sardinedoor_node/util/rendezvous.py
+++ b/packages/node/src/sardinedoor_node/util/rendezvous.py
@@ -29,3 +29,8 @@
         The name; None if there are no names.
     """
     return max(names, key=lambda n: (weight(key, n), n), default=None)
+
+
+def ranked(key: bytes, names: Iterable[str]) -> list[str]:
+    """Sorts names by falling weight for a key."""
+    return sorted(names, key=lambda n: (weight(key, n), n), reverse=True)
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -38,6 +38,9 @@
     23: wire.SettingsBodies,
     30: wire.HealthQuery,
     31: wire.HealthAnswer,
+    40: wire.Digest,
+    41: wire.ItemsPull,
+    42: wire.Items,
 }
 _NUMBERS = {cls: number for number, cls in _TYPES.items()}
 _DECODERS = {n: msgspec.msgpack.Decoder(cls) for n, cls in _TYPES.items()}
--- a/packages/standins/src/sardinedoor_standins/memfleet.py
+++ b/packages/standins/src/sardinedoor_standins/memfleet.py
@@ -60,11 +60,14 @@
                 [wire.Header(faketarget.SEND_ID, self.send_id)],
                 self.body,
             ),
-            route=route,
+            service=route.settings.service,
             idempotent=self.idempotent,
             deadline=now + self.timeout_s,
             organisation="stall-7",
             key=self.key,
+            priority=route.settings.priority,
+            team=route.team,
+            revision=route.revision,
         )
 
 
