--- a/packages/node/src/sardinedoor_node/ingress/reroute.py
+++ b/packages/node/src/sardinedoor_node/ingress/reroute.py
@@ -27,9 +27,9 @@
 # Share of the objective in which a request waits for a slot anywhere; held
 # longer, a refusal costs its caller the time to go elsewhere.
 WAIT_SHARE = 0.3
-# Share of the objective after which an idempotent request that can be tried
-# again is taken from a silent target.
-CUT_SHARE = 0.6
+# Share of the objective after which an idempotent request is offered to a
+# second target besides a silent one.
+HEDGE_SHARE = 0.6
 _WAIT_STEP_S = 0.03
 _SERVER_ERROR = 500
 # These took nobody's slot and say nothing of other owners.
@@ -69,7 +69,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Course:
-    """The offers of one request so far."""
+    """The offers of one request so far.
+
+    Attributes:
+        began: When it arrived, monotonic, in s.
+        tried: Workers that were offered it.
+        ran: Those that may have run it.
+        steps: What came of each offer.
+        last: Outcome of the newest offer that ended.
+        failed: The failure to answer with, if nothing better comes.
+        busy: Whether an owner had no slot.
+        offers: Offers made.
+        served: Whether a worker answered well.
+        final: Whether no more offers are made.
+        hedged: Whether a second offer was due while one ran.
+        hedging: Whether that offer is still to be made.
+    """
 
     began: float
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -80,6 +95,11 @@
     )
     failed: attempt.Forwarded | None = None
     busy: bool = False
+    offers: int = 0
+    served: bool = False
+    final: bool = False
+    hedged: bool = False
+    hedging: bool = False
 
     def outcome(self) -> attempt.Forwarded:
         """Returns the outcome of all offers together.
@@ -87,9 +107,7 @@
         Not run only if each was not run; an answer goes before silence.
         """
         last = self.last
-        if codes.outcome(last.code) is codes.Outcome.ANSWERED:
-            return last
-        return self.failed or last
+        return last if self.served else self.failed or last
 
 
 class Rerouter:
@@ -134,20 +152,54 @@
         """
         budget = self._budget(job.service)
         budget.requested(self._clock.monotonic())
-        for _ in range(MAX_OFFERS):
-            now = self._clock.monotonic()
-            if now >= job.deadline:
-                course.last = attempt.Forwarded(codes.Code.DEADLINE_EXPIRED)
-                return
-            choice = self._choose(job, course, budget, now)
-            if choice is None:
-                if not await self._wait(job, course):
+        running: set[asyncio.Task] = set()
+        try:
+            while not course.served:
+                if not running or course.hedging:
+                    choice = self._choose(job, course, budget)
+                    if choice is not None:
+                        running.add(self._start(job, choice, course))
+                if running:
+                    running = await self._next(job, course, budget, running)
+                elif course.final or not await self._wait(job, course):
                     return
-                continue
-            await self._offer(job, choice, course, budget)
-            if not self._goes_on(job, course, budget):
-                return
-            self._metrics.retry(course.last.code.name.lower())
+        finally:
+            for task in running:
+                task.cancel()
+
+    def _start(
+        self, job: attempt.Job, choice: picking.Choice, course: Course
+    ) -> asyncio.Task:
+        course.hedging = False
+        course.offers += 1
+        course.tried.add(choice.target.worker)
+        return asyncio.get_running_loop().create_task(
+            self._offer(job, choice, course)
+        )
+
+    async def _next(
+        self,
+        job: attempt.Job,
+        course: Course,
+        budget: windows.WindowedBudget,
+        running: set[asyncio.Task],
+    ) -> set[asyncio.Task]:
+        """Waits for an outcome, or until a second offer is due.
+
+        Returns:
+            The offers that still run.
+        """
+        hedge_s = self._hedge_s(job, course, running)
+        done, rest = await asyncio.wait(
+            running, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done:
+            course.hedged = True
+            course.hedging = budget.spend(self._clock.monotonic())
+            return rest
+        for task in done:
+            self._take(job, course, budget, task.result(), bool(rest))
+        return rest
 
     def _budget(self, service: str) -> windows.WindowedBudget:
         budget = self._budgets.get(service)
@@ -161,12 +213,13 @@
         job: attempt.Job,
         course: Course,
         budget: windows.WindowedBudget,
-        now: float,
     ) -> picking.Choice | None:
-        candidates = self._fleet.targets(job.service)
+        if course.final or course.offers >= MAX_OFFERS:
+            return None
+        now = self._clock.monotonic()
         may_repeat = job.idempotent and job.max_runs > 1 and budget.allows(now)
         return self._picker.pick(
-            candidates, course.tried | course.ran, may_repeat
+            self._fleet.targets(job.service), course.tried, may_repeat
         )
 
     async def _wait(self, job: attempt.Job, course: Course) -> bool:
@@ -180,81 +233,63 @@
         return True
 
     async def _offer(
-        self,
-        job: attempt.Job,
-        choice: picking.Choice,
-        course: Course,
-        budget: windows.WindowedBudget,
-    ) -> None:
-        target = choice.target
-        sick = self._picker.sick(target)
+        self, job: attempt.Job, choice: picking.Choice, course: Course
+    ) -> attempt.Forwarded:
+        sick = self._picker.sick(choice.target)
         began = self._clock.monotonic()
-        cut_s = self._cut_s(job, course, budget, began)
-        try:
-            async with asyncio.timeout(cut_s):
-                outcome = await self._offers.make(job, choice)
-        except TimeoutError:
-            outcome = attempt.Forwarded(
-                codes.Code.TARGET_TIMEOUT, target.worker
-            )
-        took_s = self._clock.monotonic() - began
-        status = outcome.reply.status if outcome.reply else 0
+        outcome = await self._offers.make(job, choice)
         course.steps.append(
             Step(
-                target.worker,
+                choice.target.worker,
                 int(outcome.code),
-                status,
+                outcome.reply.status if outcome.reply else 0,
                 round(100 * sick),
-                round(1000 * took_s),
+                round(1000 * (self._clock.monotonic() - began)),
             )
         )
-        course.tried.add(target.worker)
-        course.last = outcome
-        course.busy = course.busy or outcome.code in _BUSY
+        return outcome
 
-    def _cut_s(
-        self,
-        job: attempt.Job,
-        course: Course,
-        budget: windows.WindowedBudget,
-        now: float,
+    def _hedge_s(
+        self, job: attempt.Job, course: Course, running: set[asyncio.Task]
     ) -> float | None:
-        """Returns when to take a request back, in s; None for never."""
-        if not job.idempotent or len(course.ran) + 1 >= job.max_runs:
+        """Returns when a second offer is due, in s; None for never."""
+        if not job.idempotent or course.hedged or course.final:
             return None
-        if not budget.allows(now):
+        if len(course.ran) + len(running) >= job.max_runs:
             return None
-        left_s = job.deadline - now
-        cut_s = CUT_SHARE * job.objective_s
-        return cut_s if cut_s < left_s else None
+        return HEDGE_SHARE * job.objective_s
 
-    def _goes_on(
+    def _take(
         self,
         job: attempt.Job,
         course: Course,
         budget: windows.WindowedBudget,
-    ) -> bool:
-        last = course.last
-        code = last.code
+        outcome: attempt.Forwarded,
+        others_run: bool,
+    ) -> None:
+        """Takes the outcome of one offer and decides whether to go on."""
+        course.last = outcome
+        code = outcome.code
+        course.busy = course.busy or code in _BUSY
+        self._metrics.retry(code.name.lower())
         if code in _FREE or code in _BUSY:
-            return True
-        if code in _FINAL:
-            return False
+            return
         now = self._clock.monotonic()
         if codes.outcome(code) is codes.Outcome.NOT_RUN:
-            if code not in _ARRIVED or budget.spend(now):
-                return True
+            course.final = code in _FINAL or (
+                code in _ARRIVED and not budget.spend(now)
+            )
+            return
+        course.ran.add(outcome.worker)
+        reply = outcome.reply
+        if reply is not None and reply.status < _SERVER_ERROR:
+            course.served = True
+            return
+        if course.failed is None or reply is not None:
+            course.failed = outcome
+        if others_run:
+            return
+        repeats = job.idempotent and len(course.ran) < job.max_runs
+        course.final = not repeats or not budget.spend(now)
+        if repeats and course.final:
             self._metrics.event("retry_budget_spent")
-            return False
-        course.ran.add(last.worker)
-        failed = last.reply is None or last.reply.status >= _SERVER_ERROR
-        if not failed:
-            return False
-        if course.failed is None or last.reply is not None:
-            course.failed = last
-        if not job.idempotent or len(course.ran) >= job.max_runs:
-            return False
-        if budget.spend(now):
-            return True
-        self._metrics.event("retry_budget_spent")
-        return False
