Judge spells by their length, let few nodes read, tell silent links from silent peers

Two readers a failure domain, news pushed to a few peers; links replaced only where the peer answers on another one.

--- a/packages/node/src/sardinedoor_node/health/spells.py
+++ b/packages/node/src/sardinedoor_node/health/spells.py
@@ -22,7 +22,7 @@
     """
 
     sick_share: float = 0.3
-    spell_s: float = 3.0
+    spell_s: float = 9.0
     sick_failures: float = 0.75
     well_failures: float = 0.015
 
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -79,6 +79,7 @@
         channel: link.Channel,
         inbox: asyncio.Queue[base.Message],
         time: clock.Clock,
+        hold_timeout_s: float = HOLD_TIMEOUT_S,
     ):
         """Sends nothing yet.
 
@@ -88,7 +89,9 @@
             channel: The way to the owner.
             inbox: Where the owner's messages arrive.
             time: The clock.
+            hold_timeout_s: Longest wait for a hold, in s.
         """
+        self._hold_timeout_s = hold_timeout_s
         self._job = job
         self._offer = offer
         self._channel = channel
@@ -158,7 +161,7 @@
         # The home of a key may first have to wait for an earlier request.
         if self._job.keyed:
             return self._remaining()
-        return min(HOLD_TIMEOUT_S, self._remaining())
+        return min(self._hold_timeout_s, self._remaining())
 
     def _unheld(self, message: base.Message | None) -> Forwarded:
         if message is None:
--- a/packages/node/src/sardinedoor_node/ingress/feedback.py
+++ b/packages/node/src/sardinedoor_node/ingress/feedback.py
@@ -13,6 +13,10 @@
     from sardinedoor_node.ingress import attempt
 
 
+# The owner said nothing at all.
+_NO_WORD = frozenset({codes.Code.LINK_DOWN, codes.Code.HOLD_TIMEOUT})
+
+
 def of(
     outcome: attempt.Forwarded | None, heard_at: float | None
 ) -> views.Feedback:
@@ -25,7 +29,7 @@
     feedback = views.Feedback(heard_at)
     if outcome is None:
         return feedback
-    feedback.refused = outcome.code == codes.Code.LINK_DOWN
+    feedback.refused = outcome.code in _NO_WORD
     load = outcome.load
     if not isinstance(load, msgspec.UnsetType):
         feedback.report = views.Report(
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -31,6 +31,7 @@
         open_exchanges: exchanges.ExchangeTable,
         policy: holding.HoldPolicy,
         time: clock.Clock,
+        hold_timeout_s: float = attempt.HOLD_TIMEOUT_S,
     ):
         """Remembers its parts.
 
@@ -41,7 +42,9 @@
             open_exchanges: Correlates replies.
             policy: When to hold first.
             time: The clock.
+            hold_timeout_s: Longest wait for a hold, in s.
         """
+        self._hold_timeout_s = hold_timeout_s
         self._fleet = fleet
         self._transport = transport
         self._picker = picker
@@ -64,7 +67,9 @@
         if not hold:
             offer.request = job.request
             offer.owner = peer.incarnation
-        started = attempt.Attempt(job, offer, channel, inbox, self._clock)
+        started = attempt.Attempt(
+            job, offer, channel, inbox, self._clock, self._hold_timeout_s
+        )
         token = self._picker.started(target)
         outcome = None
         try:
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -71,13 +71,15 @@
     used much makes room for one of an organisation that used little.
     """
 
-    def __init__(self, slots: int, salt: bytes):
+    def __init__(self, slots: int, salt: bytes, max_wait_s: float = MAX_WAIT_S):
         """Starts idle.
 
         Args:
             slots: Requests that run at once.
             salt: Random bytes for the sketch of use.
+            max_wait_s: Longest wait for a slot, in s.
         """
+        self._max_wait_s = max_wait_s
         self._slots = slots
         self._usage = usage.UsageSketch(salt)
         self._queue: list[Waiter] = []
@@ -144,7 +146,7 @@
             limit_s = max(INTERVAL_S, _BURST_SERVICES * self._service_s)
         else:
             limit_s = max(TARGET_S, self._service_s)
-        return min(limit_s, MAX_WAIT_S)
+        return min(limit_s, self._max_wait_s)
 
     def give_up(self, waiter: Waiter, now: float) -> None:
         """Refuses a request that has waited too long, and frees its place.
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -24,7 +24,7 @@
 logger = logging.getLogger(__name__)
 
 HEARTBEAT_INTERVAL_MS = 300
-HEARTBEAT_TIMEOUT_MS = 900
+HEARTBEATS_MISSED = 3
 CLOSE_LINGER_MS = 1000
 # A link that refuses for this long is tried with another accepted key.
 KEY_TRIAL_S = 1.0
@@ -47,11 +47,12 @@
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
 
 
-def _configure_heartbeat(socket: zmq.Socket) -> None:
+def _configure_heartbeat(socket: zmq.Socket, interval_ms: int) -> None:
     """Lets the connecting side probe; the other closes when it stops."""
-    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
+    timeout_ms = HEARTBEATS_MISSED * interval_ms
+    socket.setsockopt(zmq.HEARTBEAT_IVL, interval_ms)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, timeout_ms)
+    socket.setsockopt(zmq.HEARTBEAT_TTL, timeout_ms)
 
 
 class DealerChannel(link.Channel):
@@ -106,6 +107,7 @@
         own_name: str,
         counters: metrics.Metrics,
         keys: curve.LinkKeys | None = None,
+        heartbeat_ms: int = HEARTBEAT_INTERVAL_MS,
     ):
         """Prepares the transport; nothing is bound yet.
 
@@ -113,7 +115,9 @@
             own_name: Name of the node, to which it has a local channel.
             counters: Where dropped frames and refused keys are counted.
             keys: Keys of the links; None leaves them open.
+            heartbeat_ms: Interval between heartbeats, in ms.
         """
+        self._heartbeat_ms = heartbeat_ms
         self._keys = keys
         self._metrics = counters
         self._key_check: curve.KeyCheck | None = None
@@ -183,7 +187,7 @@
         dealer = self._context.socket(zmq.DEALER)
         _configure(dealer)
         if heartbeat:
-            _configure_heartbeat(dealer)
+            _configure_heartbeat(dealer, self._heartbeat_ms)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
         if self._keys is not None:
             key = self._keys.accepted[key_number]
@@ -235,14 +239,18 @@
             parts = await channel.port.receive()
             self._dispatcher.receive(channel, parts[-1])
 
-    async def close(self) -> None:
-        """Closes all links once what was sent has left, or a time is up."""
+    async def close(self, linger_ms: int = CLOSE_LINGER_MS) -> None:
+        """Closes all links once what was sent has left, or a time is up.
+
+        Args:
+            linger_ms: That time, in ms.
+        """
         await self._tasks.cancel()
         for peer in self._peers.values():
-            peer.channel.port.close(CLOSE_LINGER_MS)
+            peer.channel.port.close(linger_ms)
         self._peers.clear()
         if self._router is not None:
-            self._router.close(CLOSE_LINGER_MS)
+            self._router.close(linger_ms)
         if self._key_check is not None:
             self._key_check.close()
         self._context.term()
--- a/packages/node/src/sardinedoor_node/owner/judged.py
+++ b/packages/node/src/sardinedoor_node/owner/judged.py
@@ -22,8 +22,10 @@
 # Below even odds an offer is worth more here than a move to another owner
 # that may be doubtful as well.
 SICK_LIMIT = 0.5
-# At 2 s without a request a sound target counts as taken out of service.
-TRIAL_INTERVAL_S = 0.5
+# A target that isn't sick any more is known again within a few of these.
+TRIAL_INTERVAL_S = 1.0
+# After a good trial the next follows at once.
+TRIAL_CONFIRM_S = 0.1
 # A request that lasts longer than this many usual ones speaks against the
 # target a little; hanging ones end in a timeout long after.
 _LATE_FACTOR = 4.0
@@ -115,6 +117,7 @@
             self._usual_s += _LATENCY_WEIGHT * (took_s - self._usual_s)
             if not was_late:
                 self._filter.served(now)
+                self._trial_at = min(self._trial_at, now + TRIAL_CONFIRM_S)
         else:
             self._filter.failed(now)
         self._note(reply.code.name.lower())
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -99,6 +99,19 @@
     until: float
 
 
+def _has_input(stream: iostream.IOStream) -> bool:
+    """Tells whether an idle connection has ended or holds stray bytes."""
+    if stream.closed():
+        return True
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return stream._read_buffer_size > 0
+    except OSError:
+        return True
+    return True
+
+
 def _is_framed(collector: _Collector) -> bool:
     """Tells whether an answer's end is marked by other than a close."""
     if collector.status in (204, 304):
@@ -205,7 +218,7 @@
         now = asyncio.get_running_loop().time()
         while self._idle:
             kept = self._idle[-1]
-            if kept.stream.closed() or now >= kept.until:
+            if now >= kept.until or _has_input(kept.stream):
                 self._idle.pop().stream.close()
             elif now - kept.since >= longest_s:
                 return None
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -38,6 +38,7 @@
         name: str,
         worker: settings.WorkerSettings,
         client: owner.Client | None = None,
+        max_wait_s: float = admission.MAX_WAIT_S,
     ):
         """Starts idle.
 
@@ -45,6 +46,7 @@
             name: Name of the worker.
             worker: Its settings.
             client: Takes requests to it; by default over HTTP.
+            max_wait_s: Longest wait for one of its slots, in s.
         """
         self.name = name
         self.service = worker.service
@@ -52,7 +54,7 @@
         self.drained = False
         self._leaving_until = -math.inf
         self._admission = admission.Admission(
-            DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES)
+            DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES), max_wait_s
         )
         self._probes = target.TargetClient(worker.address)
         self.gate: owner.Gate | None = None
--- a/packages/node/src/sardinedoor_node/published/follower.py
+++ b/packages/node/src/sardinedoor_node/published/follower.py
@@ -18,12 +18,14 @@
 logger = logging.getLogger(__name__)
 
 # Bounds how long a store that went silent goes unnoticed.
-WATCH_S = 2.0
+WATCH_S = 1.5
 # A failure domain keeps hearing from the store while most of these are gone.
-READERS = 10
+READERS = 2
 # Others read by themselves when no peer has been in touch for this long.
-UNCONFIRMED_S = 3.0
+UNCONFIRMED_S = 4.0
 _IDLE_S = 0.5
+# Changes come in bunches; one call fetches all of this time.
+_BUNCH_S = 0.15
 _BACKOFF_MIN_S = 0.1
 _BACKOFF_MAX_S = 1.0
 
@@ -74,14 +76,14 @@
                 found = await self._source.read()
             if found.is_ok():
                 self._take(found.unwrap())
+                if found.unwrap().items:
+                    await self._clock.sleep(_BUNCH_S)
             else:
                 await self._failed(found.unwrap_err())
 
     def _reads(self) -> bool:
         """Tells whether this node reads, or hears from peers."""
         near, _ = self._fleet.neighbours(self._domain)
-        if len(near) < READERS:
-            return True
         if self._catalog.contact_age_s > UNCONFIRMED_S:
             return True
         readers = rendezvous.ranked(
--- a/packages/node/src/sardinedoor_node/published/spread.py
+++ b/packages/node/src/sardinedoor_node/published/spread.py
@@ -9,6 +9,7 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from sardinedoor_node import link
@@ -22,8 +23,8 @@
 INTERVAL_S = 0.3
 # One digest in so many crosses to another failure domain.
 FAR_EVERY = 4
-# A digest tells this peer at most so often that it is behind.
-_NAME_SUFFIX = "/digests"
+# Near peers that are told of news at once; the others hear from these.
+NEWS_PEERS = 3
 
 
 class Spread:
@@ -59,6 +60,8 @@
         self._rng = rng
         self._met: dict[str, float] = {}
         self._turn = 0
+        self._heard: list[Callable[[str, link.Channel], None]] = []
+        copy.on_change(self._on_news)
         self.leaving = False
         register = transport.on_message
         register(wire.Digest, self._on_digest)
@@ -73,6 +76,24 @@
             if name:
                 self._send(name)
 
+    def on_heard(self, listener: Callable[[str, link.Channel], None]) -> None:
+        """Registers a call for each digest, with its sender and channel."""
+        self._heard.append(listener)
+
+    def ask(self, channel: link.Channel) -> None:
+        """Asks a peer for a sign of life."""
+        digest = self._digest()
+        digest.ask = True
+        channel.send(digest)
+
+    def _on_news(self) -> None:
+        near, far = self._fleet.neighbours(self._domain)
+        told = self._rng.sample(near, min(NEWS_PEERS, len(near)))
+        if far:
+            told.append(self._rng.choice(far))
+        for name in told:
+            self._send(name)
+
     def announce(self) -> None:
         """Tells all peers at once, for a planned stop or a start."""
         near, far = self._fleet.neighbours(self._domain)
@@ -109,6 +130,10 @@
             self._fleet.leaving(digest.link)
         else:
             self._fleet.staying(digest.link)
+        for listener in self._heard:
+            listener(digest.link, channel)
+        if digest.ask:
+            channel.send(self._digest())
         own = self._catalog.revision
         if digest.revision > own:
             channel.send(wire.ItemsPull(own))
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -19,6 +19,7 @@
 from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import offers
 from sardinedoor_node.ingress import reroute
+from sardinedoor_node.ingress import silence
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.owner import addressed
 from sardinedoor_node.owner import exchange
@@ -50,13 +51,22 @@
 _MAX_CONNECTIONS = 2_000
 # Callers ask every second whether a node is ready, and leave after two misses.
 _NOTICE_S = 2.4
-# Left of the grace for the process to end.
-_EXIT_S = 0.5
+# Left of the grace for the process to end; requests at work in its last sixth
+# may be cut.
+_EXIT_S = 0.9
+_CLOSE_S = 0.4
+_LINK_LINGER_MS = 200
 # Kept connections of one worker; more than its slots are never in use.
 _MAX_IDLE = 4
 # A connection idle for this long may have been dropped unseen, and then work
 # that isn't idempotent would end unknown.
 _REUSE_S = 1.0
+# Silence is noticed by requests; heartbeats only end what nobody uses, and
+# cost bytes between failure domains.
+_HEARTBEAT_MS = 2_000
+# An owner answers within a round trip, or once a slot is free.
+_SLOT_WAIT_S = 0.12
+_HOLD_TIMEOUT_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,7 +133,9 @@
         self._fleet = fleet.PublishedDirectory(
             settings.link, self._catalog, self._clock
         )
-        self._transport = zeromq.ZeromqTransport(settings.link, self._metrics)
+        self._transport = zeromq.ZeromqTransport(
+            settings.link, self._metrics, heartbeat_ms=_HEARTBEAT_MS
+        )
         self._spread = spread.Spread(
             settings.link,
             settings.failure_domain,
@@ -161,7 +173,7 @@
             client.max_idle = _MAX_IDLE
             found = settings_schema.WorkerSettings(service, settings.worker)
             worker = workers.LocalWorker(
-                name, found, judged.JudgedClient(client, gate)
+                name, found, judged.JudgedClient(client, gate), _SLOT_WAIT_S
             )
             worker.gate = gate
             return worker
@@ -199,6 +211,9 @@
             twochoices.Place(settings.link, settings.failure_domain),
             rates,
         )
+        self._silence = silence.SilenceWatch(
+            picker.paths, self._spread, self._transport, self._clock
+        )
         rerouter = reroute.Rerouter(
             self._fleet,
             picker,
@@ -209,6 +224,7 @@
                 table,
                 holding.AlwaysHold(),
                 self._clock,
+                _HOLD_TIMEOUT_S,
             ),
             settings.retries,
             self._count_nodes,
@@ -255,11 +271,16 @@
         )
         self._tasks.spawn(self._follower.run(), "follower")
         self._tasks.spawn(self._spread.run(), "spread")
+        self._tasks.spawn(self._silence.run(), "silence")
         await self._stopping.wait()
         await self._drain.run(_NOTICE_S, settings.grace_s - _EXIT_S)
         await self._tasks.cancel()
-        await self._entry.server.close()
-        await self._transport.close()
+        try:
+            async with asyncio.timeout(_CLOSE_S):
+                await self._entry.server.close()
+        except TimeoutError:
+            logger.warning("connections left open at the end of the grace")
+        await self._transport.close(_LINK_LINGER_MS)
         logger.info("stopped")
 
     def stop(self) -> None:
