Send no work to incarnations that were replaced at their address

Cause: after a loss of power the store keeps the entries of the dead incarnations for three heartbeats beside the new ones at the same addresses. Only the newest entry of an address counts now.

Waiting for three incarnations to lapse was ruled out: it takes 4.5 s.

--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -57,6 +57,8 @@
         self._workers: dict[str, published.WorkerEntry] = {}
         self._lapsed: dict[str, _Lapse] = {}
         self._services: dict[str, list[published.WorkerEntry]] = {}
+        self._newest: dict[str, published.WorkerEntry] = {}
+        self._first_seen: dict[str, int] = {}
         self._listeners: list[Callable[[], None]] = []
         self._contact = float("-inf")
         self._returned = float("-inf")
@@ -98,6 +100,17 @@
             return lapse.entry if lapse else None
         return entry
 
+    def current(self, name: str) -> published.WorkerEntry | None:
+        """Returns what is published of a worker, unless it was replaced.
+
+        Entries of incarnations that died stay until they lapse; of several
+        at one address only the newest can be there.
+        """
+        entry = self.worker(name)
+        if entry is None or self._newest.get(entry.address) is not entry:
+            return None
+        return entry
+
     def workers(self, service: str) -> list[published.WorkerEntry]:
         """Lists the workers of a service that may get new work."""
         if self._lapsed:
@@ -151,10 +164,13 @@
                     "keys": [item.key for item in taken[:8]],
                 },
             )
-            for listener in self._listeners:
-                listener()
+            self._tell()
         return bool(taken)
 
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     def _missing(self, changes: published.Changes) -> list[wire.Item]:
         """Lists deletions that a whole copy implies."""
         present = {item.key for item in changes.items}
@@ -210,6 +226,7 @@
     def _decode_worker(self, name: str, item: wire.Item) -> None:
         before = self._workers.pop(name, None)
         if item.deleted:
+            self._first_seen.pop(name, None)
             if before and before.takes_work:
                 self._keep_if_lapsed(name, before)
             logger.info(
@@ -225,6 +242,7 @@
             _log_refused(item, found.unwrap_err())
             return
         self._workers[name] = found.unwrap()
+        self._first_seen.setdefault(name, item.revision)
 
     def _keep_if_lapsed(self, name: str, entry: published.WorkerEntry) -> None:
         now = self._clock.monotonic()
@@ -240,16 +258,24 @@
             logger.info("worker entry lapsed for good", extra={"worker": name})
         if due:
             self._index()
+            self._tell()
 
     def _index(self) -> None:
+        newest: dict[str, published.WorkerEntry] = {}
+        found = [lapse.entry for lapse in self._lapsed.values()]
+        found += self._workers.values()
+        for entry in sorted(found, key=self._age):
+            newest[entry.address] = entry
         services: dict[str, list[published.WorkerEntry]] = {}
-        found = list(self._workers.values())
-        found += [lapse.entry for lapse in self._lapsed.values()]
-        for entry in found:
+        for entry in newest.values():
             if entry.takes_work:
                 services.setdefault(entry.service, []).append(entry)
+        self._newest = newest
         self._services = services
 
+    def _age(self, entry: published.WorkerEntry) -> tuple[int, int]:
+        return entry.born_ms, self._first_seen.get(entry.name, 0)
+
 
 def _log_refused(item: wire.Item, reason: str) -> None:
     logger.warning(
--- a/packages/node/src/sardinedoor_node/published/fleet.py
+++ b/packages/node/src/sardinedoor_node/published/fleet.py
@@ -48,7 +48,7 @@
         """See base class."""
         entries = self._catalog.workers(service)
         found = self._targets.get(service)
-        if found is None or len(found) != len(entries):
+        if found is None:
             found = [
                 targets.Target(
                     entry.name,
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -179,7 +179,7 @@
             return worker
 
         local = addressed.AddressedWorkers(
-            settings.worker, self._catalog.worker, make, self._clock
+            settings.worker, self._catalog.current, make, self._clock
         )
         notifier = notices.Notifier(self._fleet, self._transport, self._clock)
         crashes = suspects.Suspects(notifier.notify, self._metrics, self._clock)
