Read on past a late extra answer

Cause: the library's reader of the answer after a skipped one waited for a request to be finished that it never sent, so each late extra answer cost its request until the time-out. Found by test_targets, which failed first: code 3006 in place of the answer.

--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -258,9 +258,10 @@
                 request, collector.headers
             ):
                 break
-            collector = await self._read(
-                http1connection.HTTP1Connection(stream, True, _PARAMETERS)
-            )
+            again = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+            # Nothing is written on it; unfinished, it would wait for that.
+            again.finish()
+            collector = await self._read(again)
         else:
             collector.finished = False
         if not written.done():
