--- a/packages/node/src/sardinedoor_node/owner/__init__.py
+++ b/packages/node/src/sardinedoor_node/owner/__init__.py
@@ -39,6 +39,35 @@
         """Closes all kept connections."""
 
 
+class WrappingClient(Client):
+    """Passes everything but the requests on to another client."""
+
+    def __init__(self, inner: Client):
+        """Remembers the other client.
+
+        Args:
+            inner: Takes the requests to the worker.
+        """
+        self._inner = inner
+
+    @property
+    def max_idle(self) -> int:
+        """How many idle connections are kept at most."""
+        return self._inner.max_idle
+
+    @max_idle.setter
+    def max_idle(self, limit: int) -> None:
+        self._inner.max_idle = limit
+
+    async def is_listening(self) -> bool:
+        """See base class."""
+        return await self._inner.is_listening()
+
+    def close(self) -> None:
+        """See base class."""
+        self._inner.close()
+
+
 class Gate(abc.ABC):
     """Lets the health of workers decide on offers."""
 
--- a/packages/node/src/sardinedoor_node/owner/judged.py
+++ b/packages/node/src/sardinedoor_node/owner/judged.py
@@ -132,7 +132,7 @@
             )
 
 
-class JudgedClient(owner.Client):
+class JudgedClient(owner.WrappingClient):
     """Passes requests on, and their outcomes to the gate."""
 
     def __init__(self, inner: owner.Client, gate: SpellGate):
@@ -142,18 +142,9 @@
             inner: Takes the requests to the worker.
             gate: Judges the worker.
         """
-        self._inner = inner
+        super().__init__(inner)
         self._gate = gate
 
-    @property
-    def max_idle(self) -> int:
-        """How many idle connections are kept at most."""
-        return self._inner.max_idle
-
-    @max_idle.setter
-    def max_idle(self, limit: int) -> None:
-        self._inner.max_idle = limit
-
     async def run(
         self, request: wire.Request, idempotent: bool, remaining_s: float
     ) -> target.TargetReply:
@@ -165,11 +156,3 @@
         finally:
             self._gate.finished(run, reply)
         return reply
-
-    async def is_listening(self) -> bool:
-        """See base class."""
-        return await self._inner.is_listening()
-
-    def close(self) -> None:
-        """See base class."""
-        self._inner.close()
--- a/packages/node/src/sardinedoor_node/owner/watched.py
+++ b/packages/node/src/sardinedoor_node/owner/watched.py
@@ -21,7 +21,7 @@
 _SERVER_ERROR = 500
 
 
-class WatchedClient(owner.Client):
+class WatchedClient(owner.WrappingClient):
     """Passes requests on, and their outcomes to the health monitor."""
 
     def __init__(
@@ -35,18 +35,9 @@
             health_of: Judges the node's workers.
         """
         self._name = name
-        self._inner = inner
+        super().__init__(inner)
         self._health = health_of
 
-    @property
-    def max_idle(self) -> int:
-        """How many idle connections are kept at most."""
-        return self._inner.max_idle
-
-    @max_idle.setter
-    def max_idle(self, limit: int) -> None:
-        self._inner.max_idle = limit
-
     async def run(
         self, request: wire.Request, idempotent: bool, remaining_s: float
     ) -> target.TargetReply:
@@ -60,14 +51,6 @@
             self._health.finished(self._name, run, kind)
         return reply
 
-    async def is_listening(self) -> bool:
-        """See base class."""
-        return await self._inner.is_listening()
-
-    def close(self) -> None:
-        """See base class."""
-        self._inner.close()
-
 
 def kind_of(reply: target.TargetReply) -> health.Kind | None:
     """Classes a reply as evidence on the target; None if it is none."""
--- a/packages/node/src/sardinedoor_node/picking/odds.py
+++ b/packages/node/src/sardinedoor_node/picking/odds.py
@@ -163,11 +163,10 @@
         now = self._clock.monotonic()
         view = self._view(target.worker)
         view.in_flight -= 1
-        if feedback.heard_at is not None:
-            self._paths.heard(target.node, feedback.heard_at)
-        if feedback.refused or feedback.silent:
-            self._paths.refused(target.node, now)
-        self._paths.ended(target.node, token, now)
+        unreachable = feedback.refused or feedback.silent
+        self._paths.finished(
+            target.node, token, feedback.heard_at, unreachable, now
+        )
         report = feedback.report
         if report is not None:
             view.heard_at = now
--- a/packages/node/src/sardinedoor_node/picking/path.py
+++ b/packages/node/src/sardinedoor_node/picking/path.py
@@ -49,6 +49,29 @@
         if sent_at in path.unanswered:
             path.unanswered.remove(sent_at)
 
+    def finished(
+        self,
+        node: str,
+        sent_at: float,
+        heard_at: float | None,
+        unreachable: bool,
+        now: float,
+    ) -> None:
+        """Takes what one exchange says of the path to its node.
+
+        Args:
+            node: Name of the node.
+            sent_at: When the exchange began, in s.
+            heard_at: When the node last sent anything, in s; None for never.
+            unreachable: Whether the exchange speaks against the path.
+            now: Monotonic time, in s.
+        """
+        if heard_at is not None:
+            self.heard(node, heard_at)
+        if unreachable:
+            self.refused(node, now)
+        self.ended(node, sent_at, now)
+
     def heard(self, node: str, now: float) -> None:
         """Counts any frame from a node, received at a time."""
         path = self._paths.get(node)
--- a/packages/node/src/sardinedoor_node/picking/twochoices.py
+++ b/packages/node/src/sardinedoor_node/picking/twochoices.py
@@ -199,10 +199,8 @@
         now = self._clock.monotonic()
         view = self._view(target.worker)
         view.in_flight -= 1
-        if feedback.heard_at is not None:
-            self._paths.heard(target.node, feedback.heard_at)
-        if feedback.refused:
-            self._paths.refused(target.node, now)
-        self._paths.ended(target.node, token, now)
+        self._paths.finished(
+            target.node, token, feedback.heard_at, feedback.refused, now
+        )
         if feedback.report is not None:
             view.take(feedback.report, now)
