--- a/packages/node/src/sardinedoor_node/published/spread.py
+++ b/packages/node/src/sardinedoor_node/published/spread.py
@@ -19,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-# News reach a failure domain of ten nodes within a second this way.
+# Peers also push news at once, so this repairs only what a push missed.
 INTERVAL_S = 0.3
 # One digest in so many crosses to another failure domain.
 FAR_EVERY = 4
