Budget further runs apart from rejected arrivals

Offers say whether another worker has run the request; calls that a worker makes while it runs such a repeat are charged to the budget of the called service, and calls earn nothing. Calls look like callers' requests, so routes are sorted by whether requests come while the node's worker is idle.

--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -38,6 +38,8 @@
         objective_s: Time within which an answer has its full value, in s.
         max_runs: Workers on which it may run at most.
         committed: Whether work that isn't idempotent may have begun.
+        repeats: Whether a worker runs it already or has run it.
+        nested: Whether the node's own worker may make it within a request.
     """
 
     request: wire.Request
@@ -52,6 +54,8 @@
     objective_s: float = 0.0
     max_runs: int = 1
     committed: bool = False
+    repeats: bool = False
+    nested: bool = False
 
     @property
     def keyed(self) -> bool:
--- a/packages/node/src/sardinedoor_node/ingress/entry.py
+++ b/packages/node/src/sardinedoor_node/ingress/entry.py
@@ -21,6 +21,7 @@
     from sardinedoor_node import metrics
     from sardinedoor_node import published
     from sardinedoor_node.ingress import dialect
+    from sardinedoor_node.ingress import nesting
     from sardinedoor_node.published import catalog
     from sardinedoor_node.util import clock
 
@@ -46,6 +47,7 @@
         time: clock.Clock,
         rng: random.Random,
         max_connections: int,
+        nested: nesting.NestedCalls,
     ):
         """Builds the listeners; nothing listens yet.
 
@@ -57,6 +59,7 @@
             time: The clock.
             rng: Splits requests by weight, and spreads returns.
             max_connections: Connections that are served at once.
+            nested: Tells calls of the node's own worker.
         """
         self._catalog = copy
         self._rerouter = rerouter
@@ -64,6 +67,7 @@
         self._metrics = counters
         self._clock = time
         self._rng = rng
+        self._nested = nested
         self._routes: hosts.HostRoutes | None = None
         self._server = server.Server(self, counters, time, max_connections)
         copy.on_change(self._on_change)
@@ -178,6 +182,7 @@
             priority=route.urgency,
             objective_s=route.objective_s,
             max_runs=route.max_runs,
+            nested=self._nested.is_nested(route.name),
         )
 
     def _part(self, route: published.Route) -> str:
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -114,4 +114,5 @@
             choice.target.service, job.organisation, job.request
         ),
         rotation=choice.rotation.value,
+        repeats=job.repeats,
     )
--- a/packages/node/src/sardinedoor_node/ingress/reroute.py
+++ b/packages/node/src/sardinedoor_node/ingress/reroute.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.ingress import attempt
-from sardinedoor_node.limits import windows
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -18,6 +17,7 @@
     from sardinedoor_node import metrics
     from sardinedoor_node import picking
     from sardinedoor_node.ingress import offers
+    from sardinedoor_node.limits import windows
     from sardinedoor_node.util import clock
 
 logger = logging.getLogger(__name__)
@@ -118,8 +118,8 @@
         fleet: directory.Directory,
         picker: picking.Picker,
         made: offers.Offers,
-        rules: windows.RetryRules,
-        nodes: Callable[[], int],
+        budgets: windows.WindowedBudgets,
+        repeats: Callable[[], int],
         counters: metrics.Metrics,
         time: clock.Clock,
     ):
@@ -129,19 +129,19 @@
             fleet: Lists targets.
             picker: Picks among them.
             made: Makes the offers.
-            rules: Bounds further attempts.
-            nodes: Tells how many nodes share the burst of the rules.
+            budgets: Bound further attempts.
+            repeats: Tells how many repeated requests are at the node's own
+                worker.
             counters: Where further attempts are counted by reason.
             time: The clock.
         """
         self._fleet = fleet
         self._picker = picker
         self._offers = made
-        self._rules = rules
-        self._nodes = nodes
+        self._budgets = budgets
+        self._repeats = repeats
         self._metrics = counters
         self._clock = time
-        self._budgets: dict[str, windows.WindowedBudget] = {}
 
     async def forward(self, job: attempt.Job, course: Course) -> None:
         """Offers a request until one outcome is final.
@@ -150,8 +150,12 @@
             job: The request.
             course: Takes what came of it.
         """
-        budget = self._budget(job.service)
-        budget.requested(self._clock.monotonic())
+        budget = self._budgets.of(job.service)
+        now = self._clock.monotonic()
+        if job.nested:
+            budget.called(now, self._repeats())
+        else:
+            budget.requested(now)
         running: set[asyncio.Task] = set()
         try:
             while not course.served:
@@ -170,6 +174,7 @@
     def _start(
         self, job: attempt.Job, choice: picking.Choice, course: Course
     ) -> asyncio.Task:
+        job.repeats = course.hedging or bool(course.ran)
         course.hedging = False
         course.offers += 1
         course.tried.add(choice.target.worker)
@@ -195,19 +200,12 @@
         )
         if not done:
             course.hedged = True
-            course.hedging = budget.spend(self._clock.monotonic())
+            course.hedging = budget.spend(self._clock.monotonic(), runs=True)
             return rest
         for task in done:
             self._take(job, course, budget, task.result(), bool(rest))
         return rest
 
-    def _budget(self, service: str) -> windows.WindowedBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = windows.WindowedBudget(self._rules, self._nodes)
-            self._budgets[service] = budget
-        return budget
-
     def _choose(
         self,
         job: attempt.Job,
@@ -217,7 +215,11 @@
         if course.final or course.offers >= MAX_OFFERS:
             return None
         now = self._clock.monotonic()
-        may_repeat = job.idempotent and job.max_runs > 1 and budget.allows(now)
+        may_repeat = (
+            job.idempotent
+            and job.max_runs > 1
+            and budget.allows(now, runs=True)
+        )
         return self._picker.pick(
             self._fleet.targets(job.service), course.tried, may_repeat
         )
@@ -277,7 +279,7 @@
         now = self._clock.monotonic()
         if codes.outcome(code) is codes.Outcome.NOT_RUN:
             course.final = code in _FINAL or (
-                code in _ARRIVED and not budget.spend(now)
+                code in _ARRIVED and not budget.spend(now, runs=False)
             )
             return
         course.ran.add(outcome.worker)
@@ -290,6 +292,6 @@
         if others_run:
             return
         repeats = job.idempotent and len(course.ran) < job.max_runs
-        course.final = not repeats or not budget.spend(now)
+        course.final = not repeats or not budget.spend(now, runs=True)
         if repeats and course.final:
             self._metrics.event("retry_budget_spent")
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -103,8 +103,20 @@
             self._keys = keyed.KeyedRequests(
                 key_homes, ledger.Ledger(time), time
             )
+        self._runs = 0
+        self._repeats = 0
         self.leaving = False
 
+    @property
+    def runs(self) -> int:
+        """Requests that are at the node's workers."""
+        return self._runs
+
+    @property
+    def repeats(self) -> int:
+        """Those of them that another worker runs or has run too."""
+        return self._repeats
+
     @property
     def busy(self) -> int:
         """Number of exchanges that are not finished."""
@@ -242,7 +254,15 @@
         self._suspects.begin(offer.service, fingerprint, remaining_s)
         exchange.started = True
         timed = self._dialect.prepare(request, offer.worker, remaining_s)
-        reply = await worker.client.run(timed, offer.idempotent, remaining_s)
+        self._runs += 1
+        self._repeats += offer.repeats
+        try:
+            reply = await worker.client.run(
+                timed, offer.idempotent, remaining_s
+            )
+        finally:
+            self._runs -= 1
+            self._repeats -= offer.repeats
         worker.heard(reply, self._clock.monotonic())
         await self._note_end(offer.service, worker, fingerprint, reply.code)
         if reply.code != codes.Code.ANSWERED:
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -17,9 +17,11 @@
 from sardinedoor_node.ingress import entry
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import holding
+from sardinedoor_node.ingress import nesting
 from sardinedoor_node.ingress import offers
 from sardinedoor_node.ingress import reroute
 from sardinedoor_node.ingress import silence
+from sardinedoor_node.limits import windows
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.owner import addressed
 from sardinedoor_node.owner import exchange
@@ -42,7 +44,6 @@
 if TYPE_CHECKING:
     from sardinedoor_node import published
     from sardinedoor_node.ingress import dialect as caller_dialects
-    from sardinedoor_node.limits import windows
     from sardinedoor_node.owner import dialect as target_dialects
 
 logger = logging.getLogger(__name__)
@@ -226,8 +227,13 @@
                 self._clock,
                 _HOLD_TIMEOUT_S,
             ),
-            settings.retries,
-            self._count_nodes,
+            windows.WindowedBudgets(
+                settings.retries,
+                self._count_nodes,
+                self._clock.monotonic(),
+                self._rng.random(),
+            ),
+            lambda: self._owner.repeats,
             self._metrics,
             self._clock,
         )
@@ -239,6 +245,7 @@
             self._clock,
             self._rng,
             _MAX_CONNECTIONS,
+            nesting.NestedCalls(lambda: self._owner.runs),
         )
 
     def _count_nodes(self) -> int:
--- a/tests/test_ingress/test_ingress_reroute.py
+++ b/tests/test_ingress/test_ingress_reroute.py
@@ -93,8 +93,13 @@
             _Directory(list(script)),
             _InOrder(),
             made,
-            windows.RetryRules(0.0, 10.0, burst),
-            lambda: 1,
+            windows.WindowedBudgets(
+                windows.RetryRules(0.0, 10.0, burst),
+                lambda: 1,
+                time.monotonic() - 10.0,
+                0.0,
+            ),
+            lambda: 0,
             metrics.Metrics(),
             time,
         )
