Hand items to another failure domain only when near peers don't bring them

Cause: each node that took a change told a random peer in another failure domain at once, and that one pulled the items across, although each domain has readers of its own which bring them a moment later.

Now a newer revision at a far peer is pulled after 0.2 s, if no near peer has brought it; to an older far peer only the own revision is sent. The lists of near and far nodes are kept until an entry changes.

--- a/packages/node/src/sardinedoor_node/published/fleet.py
+++ b/packages/node/src/sardinedoor_node/published/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import logging
 from typing import TYPE_CHECKING
 
@@ -37,7 +38,9 @@
         self._clock = time
         self._leaving: dict[str, float] = {}
         self._targets: dict[str, list[targets.Target]] = {}
+        self._near: dict[str, tuple[list[str], list[str]]] = {}
         copy.on_change(self._targets.clear)
+        copy.on_change(self._near.clear)
 
     @property
     def own_name(self) -> str:
@@ -91,6 +94,18 @@
         Returns:
             Those in a failure domain, and the others.
         """
+        found = self._near.get(failure_domain)
+        if found is None:
+            found = self._near[failure_domain] = self._split(failure_domain)
+        return found
+
+    def is_far(self, name: str, failure_domain: str) -> bool:
+        """Tells whether a node is known to be in another failure domain."""
+        far = self.neighbours(failure_domain)[1]
+        at = bisect.bisect_left(far, name)
+        return at < len(far) and far[at] == name
+
+    def _split(self, failure_domain: str) -> tuple[list[str], list[str]]:
         near = set()
         far = set()
         for entry in self._catalog.all_workers():
--- a/packages/node/src/sardinedoor_node/published/spread.py
+++ b/packages/node/src/sardinedoor_node/published/spread.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
@@ -23,10 +24,22 @@
 INTERVAL_S = 0.3
 # One digest in so many crosses to another failure domain.
 FAR_EVERY = 4
+# Items cross to another failure domain only if the near peers haven't brought
+# them by then; each domain has readers of its own, and crossing costs.
+FAR_PULL_S = 0.2
 # Near peers that are told of news at once; the others hear from these.
 NEWS_PEERS = 3
 
 
+@dataclasses.dataclass(slots=True)
+class _Newer:
+    """A far peer that has a newer copy; its time is monotonic, in s."""
+
+    channel: link.Channel
+    revision: int
+    heard_at: float
+
+
 class Spread:
     """Compares revisions with random peers and hands over what they lack."""
 
@@ -60,6 +73,7 @@
         self._rng = rng
         self._met: dict[str, float] = {}
         self._turn = 0
+        self._newer: _Newer | None = None
         self._heard: list[Callable[[str, link.Channel], None]] = []
         copy.on_change(self._on_news)
         self.leaving = False
@@ -72,6 +86,7 @@
         """Sends digests until cancelled."""
         while True:
             await self._clock.sleep(INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            self._pull_if_behind()
             name = self._choose()
             if name:
                 self._send(name)
@@ -135,12 +150,29 @@
         if digest.ask:
             channel.send(self._digest())
         own = self._catalog.revision
-        if digest.revision > own:
+        if digest.revision == own:
+            self._catalog.confirmed(digest.contact_ms / 1000)
+        elif self._fleet.is_far(digest.link, self._domain):
+            if digest.revision < own:
+                channel.send(self._digest())
+            elif self._newer is None:
+                now = self._clock.monotonic()
+                self._newer = _Newer(channel, digest.revision, now)
+        elif digest.revision > own:
             channel.send(wire.ItemsPull(own))
-        elif digest.revision < own:
-            self._hand_over(channel, digest.revision)
         else:
-            self._catalog.confirmed(digest.contact_ms / 1000)
+            self._hand_over(channel, digest.revision)
+
+    def _pull_if_behind(self) -> None:
+        """Pulls from a far peer what no near one has brought."""
+        newer = self._newer
+        if newer is None:
+            return
+        if newer.revision > self._catalog.revision:
+            if self._clock.monotonic() - newer.heard_at < FAR_PULL_S:
+                return
+            newer.channel.send(wire.ItemsPull(self._catalog.revision))
+        self._newer = None
 
     def _on_pull(self, channel: link.Channel, pull: wire.ItemsPull) -> None:
         if pull.revision < self._catalog.revision:
--- a/packages/standins/src/sardinedoor_standins/virtualtime.py
+++ b/packages/standins/src/sardinedoor_standins/virtualtime.py
@@ -211,3 +211,24 @@
             yield self
         finally:
             self.close()
+
+
+class ManualClock(clock.Clock):
+    """A clock that is set by hand."""
+
+    def __init__(self) -> None:
+        """Starts at an arbitrary moment."""
+        self.at = 100.0
+
+    def monotonic(self) -> float:
+        """See base class."""
+        return self.at
+
+    def now(self) -> datetime.datetime:
+        """See base class."""
+        return datetime.datetime.now(datetime.UTC)
+
+    async def sleep(self, seconds: float) -> None:
+        """See base class; returns at once."""
+        self.at += seconds
+        await asyncio.sleep(0)
--- a/tests/test_published/test_published_catalog.py
+++ b/tests/test_published/test_published_catalog.py
@@ -2,72 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import datetime
 import random
 
-import result
 import testtools
 
 from sardinedoor_node import published
 from sardinedoor_node.published import catalog
-from sardinedoor_node.util import clock
 from sardinedoor_schema.generated import wire
+from sardinedoor_standins import textitems
+from sardinedoor_standins import virtualtime
 
-_WORKER = "w/"
 _ADDRESS = "10.0.0.1:80"
 
 
-class FakeClock(clock.Clock):
-    """A clock that is set by hand."""
-
-    def __init__(self) -> None:
-        self.at = 100.0
-
-    def monotonic(self) -> float:
-        return self.at
-
-    def now(self) -> datetime.datetime:
-        return datetime.datetime.now(datetime.UTC)
-
-    async def sleep(self, seconds: float) -> None:
-        self.at += seconds
-        await asyncio.sleep(0)
-
-
-class TextDecoder(published.Decoder):
-    """Values are `version` or `address/service/born/state`."""
-
-    def configuration(self, item):
-        if item.key != "c":
-            return None
-        if not item.value.isdigit():
-            return result.Err("no number")
-        return result.Ok(
-            published.Configuration(int(item.value), [], {}, 1, 1.0)
-        )
-
-    def worker_name(self, key):
-        return key.removeprefix(_WORKER) if key.startswith(_WORKER) else None
-
-    def worker(self, item):
-        try:
-            address, service, born, state = item.value.decode().split("/")
-            return result.Ok(
-                published.WorkerEntry(
-                    item.key.removeprefix(_WORKER),
-                    service,
-                    address,
-                    "a",
-                    3,
-                    published.WorkerState(state),
-                    born_ms=int(born),
-                )
-            )
-        except ValueError as e:
-            return result.Err(str(e))
-
-
 def _config(revision: int, version: str) -> wire.Item:
     return wire.Item("c", revision, version.encode())
 
@@ -80,18 +27,18 @@
     state: str = "ready",
 ) -> wire.Item:
     value = f"{address}/pay/{born}/{state}".encode()
-    return wire.Item(_WORKER + name, revision, value)
+    return wire.Item(textitems.WORKER + name, revision, value)
 
 
 def _gone(revision: int, name: str) -> wire.Item:
-    return wire.Item(_WORKER + name, revision, deleted=True)
+    return wire.Item(textitems.WORKER + name, revision, deleted=True)
 
 
 class CatalogTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.clock = FakeClock()
-        self.catalog = catalog.Catalog(TextDecoder(), self.clock)
+        self.clock = virtualtime.ManualClock()
+        self.catalog = catalog.Catalog(textitems.TextDecoder(), self.clock)
 
     def _take(self, *items: wire.Item, whole: bool = False) -> None:
         revision = max((i.revision for i in items), default=0)
@@ -160,7 +107,8 @@
         for seed in range(200):
             rng = random.Random(seed)
             first, second = (
-                catalog.Catalog(TextDecoder(), self.clock) for _ in range(2)
+                catalog.Catalog(textitems.TextDecoder(), self.clock)
+                for _ in range(2)
             )
             for revision in range(1, 30):
                 name = rng.choice("abc")
