Drop old moments from the retry budget also while nothing fails

Cause: moments left the window only when a further attempt was asked for; at an ingress that saw only work that isn't idempotent and never fails, they stayed for ever. Found by reading; the test fails without the two lines. Behaviour is the same otherwise.

--- a/packages/node/src/sardinedoor_node/limits/windows.py
+++ b/packages/node/src/sardinedoor_node/limits/windows.py
@@ -86,8 +86,14 @@
         self._spent: collections.deque[float] = collections.deque()
         self._runs: collections.deque[float] = collections.deque()
 
+    @property
+    def counted(self) -> int:
+        """Moments that are held in memory."""
+        return len(self._requests) + len(self._spent) + len(self._runs)
+
     def requested(self, now: float) -> None:
         """Counts a request that a caller sends to the service."""
+        self._expire(now)
         self._requests.append(now)
 
     def called(self, now: float, repeats: int) -> None:
@@ -99,6 +105,7 @@
                 an earlier run has made.
         """
         if repeats:
+            self._expire(now)
             self._spent.append(now)
 
     def allows(self, now: float, runs: bool) -> bool:
--- a/tests/test_limits/test_limits_windows.py
+++ b/tests/test_limits/test_limits_windows.py
@@ -63,6 +63,13 @@
             charged.called(0.5, repeats=1)
         self.assertEqual(free - 10, _spend_all(charged, runs=False))
 
+    def test_a_service_that_never_fails_takes_bounded_memory(self):
+        budget = _budget(1)
+        for number in range(1_000):
+            budget.requested(number * 1.0)
+            budget.called(number * 1.0, repeats=1)
+        self.assertLessEqual(budget.counted, 2 * (_RULES.window_s + 1))
+
     def test_calls_earn_nothing(self):
         called = _budget(1)
         for _ in range(100):
