Ignore signals between the close of the loop and the end of the process

Cause: a loop that closes gives its handlers back, and Python sets the default action; a second SIGTERM in the last moments of a planned stop then ends the process with -15.

--- a/packages/node/src/sardinedoor_node/main.py
+++ b/packages/node/src/sardinedoor_node/main.py
@@ -14,6 +14,7 @@
 from sardinedoor_node import daemon
 from sardinedoor_node.settings import nodefile
 from sardinedoor_node.util import logs
+from sardinedoor_node.util import signals
 
 EXIT_SETTINGS = 2
 EXIT_LISTEN = 3
@@ -48,6 +49,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
     await node.run()
+    signals.ignore(signal.SIGTERM, signal.SIGINT)
 
 
 def run() -> None:
