--- /dev/null
+++ b/bench/mechanisms.py
@@ -0,0 +1,314 @@
+"""Mechanisms of the node, and how the source reads without each."""
+
+from __future__ import annotations
+
+import dataclasses
+
+_ROUTING = tuple(
+    f"tests/{name}"
+    for name in (
+        "test_ingress/test_ingress_reroute.py",
+        "test_ingress/test_ingress_nesting.py",
+        "test_limits/test_limits_windows.py",
+        "test_picking/test_picking_odds.py",
+    )
+)
+_PUBLISHED = ("tests/test_published",)
+
+
+@dataclasses.dataclass(slots=True)
+class Mechanism:
+    """A mechanism, and how its absence reads.
+
+    Attributes:
+        name: What it does.
+        file: Where it is, below the package.
+        old: Its text.
+        new: What stands there when it is off.
+        tests: Paths of tests that run on it; without any, the grid and the
+            tests of exchanges do.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: tuple[str, ...] = ()
+
+
+MECHANISMS = [
+    Mechanism(
+        "offers are taken once",
+        "owner/exchange.py",
+        "if not self._seen.add(offer.id):",
+        "if not (self._seen.add(offer.id) or True):",
+    ),
+    Mechanism(
+        "an attached request names the owner's incarnation",
+        "owner/exchange.py",
+        "if offer.owner and offer.owner != self._incarnation:",
+        "if False:",
+    ),
+    Mechanism(
+        "a refusal names the ticket of the go",
+        "ingress/attempt.py",
+        "return message.ticket == self._ticket",
+        "return True",
+    ),
+    Mechanism(
+        "a used ticket is not taken for a lapsed one",
+        "owner/holds.py",
+        "        if used:\n            return\n",
+        "",
+    ),
+    Mechanism(
+        "a lapsed hold never runs",
+        "owner/exchange.py",
+        "if go is None or self._clock.monotonic() > hold.lapses:",
+        "if go is None:",
+    ),
+    Mechanism(
+        "one unknown attempt makes the request unknown",
+        "ingress/forward.py",
+        "        return self.unknown[-1]\n",
+        "        return self.last\n",
+    ),
+    Mechanism(
+        "unknown is not retried unless idempotent",
+        "ingress/forward.py",
+        "if outcome is codes.Outcome.ANSWERED or not job.idempotent:",
+        "if outcome is codes.Outcome.ANSWERED:",
+    ),
+    Mechanism(
+        "silence after go is unknown",
+        "ingress/attempt.py",
+        "return self._refused(codes.Code.REPLY_TIMEOUT)",
+        "return self._refused(codes.Code.HOLD_TIMEOUT)",
+    ),
+    Mechanism(
+        "replies carry a digest",
+        "ingress/attempt.py",
+        "if not is_whole or digests.of_reply(message) != message.digest:",
+        "if False:",
+    ),
+    Mechanism(
+        "correlation ids carry the incarnation",
+        "ingress/exchanges.py",
+        "self._incarnation + struct",
+        "bytes(16) + struct",
+    ),
+    Mechanism(
+        "a key runs at its home only",
+        "ingress/attempt.py",
+        "return bool(self.key) and not self.idempotent",
+        "return False",
+    ),
+    Mechanism(
+        "the home waits for a running key",
+        "owner/keyed.py",
+        "while (entry := self._ledger.find(name)) is not None:",
+        "while (entry := self._ledger.find(name)) and not entry.running:",
+    ),
+    Mechanism(
+        "a key that may have run is kept",
+        "owner/keyed.py",
+        "if not asked.started or _was_not_run(message):",
+        "if not isinstance(message, wire.Reply):",
+    ),
+    Mechanism(
+        "a key from before the start is not vouched for",
+        "owner/ledger.py",
+        "        if time_ms < covered_ms:\n",
+        "        if False:\n",
+    ),
+    Mechanism(
+        "a key that moved is not vouched for",
+        "owner/homes.py",
+        "since_ms = max(since_ms, change.ended_ms + MOVE_GUARD_MS)",
+        "pass",
+    ),
+    Mechanism(
+        "a home that starts doubts the age of its settings",
+        "owner/homes.py",
+        "self._known_ms[service] = now_ms + MOVE_GUARD_MS",
+        "self._known_ms[service] = 0",
+    ),
+    Mechanism(
+        "clocks may differ",
+        "owner/ledger.py",
+        "self.covered_ms = self.now_ms() + CLOCK_SKEW_MS",
+        "self.covered_ms = self.now_ms()",
+    ),
+    Mechanism(
+        "the owner checks that it is home",
+        "owner/keyed.py",
+        "if self._homes.home(offer.service, name) != worker.name:",
+        "if False:",
+    ),
+    Mechanism(
+        "a crash is told to the other owners",
+        "owner/notices.py",
+        "            channel.send(notice)\n",
+        "            del channel\n",
+    ),
+    Mechanism(
+        "two crashes quarantine a request",
+        "owner/suspects.py",
+        "if len(suspect.crashes) >= CRASH_LIMIT:\n            return True",
+        "if len(suspect.crashes) >= CRASH_LIMIT:\n            return False",
+    ),
+    Mechanism(
+        "a suspect runs at one target at a time",
+        "owner/suspects.py",
+        "return suspect.trial_ends > self._clock.monotonic()",
+        "return False",
+    ),
+    Mechanism(
+        "an answer clears a suspect",
+        "owner/suspects.py",
+        "        if self._clear(fingerprint):\n            notice",
+        "        if False:\n            notice",
+    ),
+    Mechanism(
+        "what is answered elsewhere is no suspect",
+        "owner/suspects.py",
+        "return self._clock.monotonic() - answered < ANSWERED_MS / 1000",
+        "return False",
+    ),
+    Mechanism(
+        "a trial ends with its request",
+        "owner/exchange.py",
+        "            self._suspects.ended(service, fingerprint)\n",
+        "            pass\n",
+    ),
+    Mechanism(
+        "a request that isn't idempotent takes a fresh connection",
+        "owner/target.py",
+        "stream = self._take_idle() if idempotent else None",
+        "stream = self._take_idle()",
+    ),
+    Mechanism(
+        "a silent kept connection is replaced",
+        "owner/target.py",
+        "silent = min(deadline, now + SILENT_S)",
+        "silent = deadline",
+    ),
+    Mechanism(
+        "a silent node link is replaced",
+        "link/zeromq.py",
+        "            _configure_heartbeat(dealer)\n",
+        "            pass\n",
+    ),
+    Mechanism(
+        "work that may have run is repeated only if idempotent",
+        "ingress/reroute.py",
+        "repeats = job.idempotent and",
+        "repeats =",
+        _ROUTING,
+    ),
+    Mechanism(
+        "rejected arrivals draw on the budget",
+        "ingress/reroute.py",
+        "code in _ARRIVED and not budget.spend(now, runs=False)",
+        "False",
+        _ROUTING,
+    ),
+    Mechanism(
+        "calls of workers earn nothing",
+        "ingress/reroute.py",
+        "        if job.nested:\n",
+        "        if False:\n",
+        _ROUTING,
+    ),
+    Mechanism(
+        "further runs keep a margin for their calls",
+        "limits/windows.py",
+        "return not runs or len(self._runs) + 1 <= limit",
+        "return True",
+        _ROUTING,
+    ),
+    Mechanism(
+        "calls of repeated runs are charged",
+        "limits/windows.py",
+        "        if repeats:\n",
+        "        if False:\n",
+        _ROUTING,
+    ),
+    Mechanism(
+        "a restart gives no second burst",
+        "limits/windows.py",
+        "            burst *= _RESTART_SHARE\n",
+        "            pass\n",
+        _ROUTING,
+    ),
+    Mechanism(
+        "nodes that went share the burst for a window",
+        "limits/windows.py",
+        "max(1, self._most, self._before)",
+        "max(1, self._nodes())",
+        _ROUTING,
+    ),
+    Mechanism(
+        "a route used beside an idle worker is the callers'",
+        "ingress/nesting.py",
+        "return self._idle[route] < _IDLE_SHARE * arrivals",
+        "return True",
+        _ROUTING,
+    ),
+    Mechanism(
+        "doubtful targets cost",
+        "picking/odds.py",
+        "_DOUBT_COST = 3.0",
+        "_DOUBT_COST = 0.0",
+        _ROUTING,
+    ),
+    Mechanism(
+        "far targets are looked at",
+        "picking/odds.py",
+        "_SAMPLE_FAR = 2",
+        "_SAMPLE_FAR = 0",
+        _ROUTING,
+    ),
+    Mechanism(
+        "a configuration never goes back",
+        "published/catalog.py",
+        "configuration.version <= held.version",
+        "False",
+        _PUBLISHED,
+    ),
+    Mechanism(
+        "entries that lapsed with the store may return",
+        "published/catalog.py",
+        'return self._unanswered and AWAY_S < silent_s < float("inf")',
+        "return False",
+        _PUBLISHED,
+    ),
+    Mechanism(
+        "the store is up while peers reach it",
+        "published/catalog.py",
+        'return self._unanswered and AWAY_S < silent_s < float("inf")',
+        "return self._unanswered",
+        _PUBLISHED,
+    ),
+    Mechanism(
+        "late word of the store is no outage",
+        "published/catalog.py",
+        'return self._unanswered and AWAY_S < silent_s < float("inf")',
+        'return AWAY_S < silent_s < float("inf")',
+        _PUBLISHED,
+    ),
+    Mechanism(
+        "of entries at one address the newest counts",
+        "published/catalog.py",
+        "for entry in sorted(found, key=self._age):",
+        "for entry in reversed(sorted(found, key=self._age)):",
+        _PUBLISHED,
+    ),
+    Mechanism(
+        "items cross between domains only late",
+        "published/spread.py",
+        "elif self._fleet.is_far(digest.link, self._domain):",
+        "elif False:",
+        _PUBLISHED,
+    ),
+]
