--- a/packages/standins/src/sardinedoor_standins/loopback.py
+++ b/packages/standins/src/sardinedoor_standins/loopback.py
@@ -18,8 +18,12 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from sardinedoor_node.ingress import tls
 
+HOST = b"Host: h\r\n"
 _QUIET_S = 0.3
 _READ_BYTES = 64 * 1024
 
@@ -141,6 +145,35 @@
         await self.ingress.server.close()
 
 
+async def use(
+    settings: str,
+    case: Callable[[LoopbackIngress], Awaitable[None]],
+    max_connections: int = 100,
+) -> None:
+    """Runs a case on an ingress, which is closed at its end.
+
+    Args:
+        settings: The subtree of team `t`.
+        case: Takes the ingress.
+        max_connections: Connections served at once.
+    """
+    ingress = LoopbackIngress(settings, max_connections)
+    try:
+        await case(ingress)
+    finally:
+        await ingress.close()
+
+
+def get(path: bytes = b"/p", more: bytes = b"") -> bytes:
+    """Returns a GET with further header lines."""
+    return b"GET " + path + b" HTTP/1.1\r\n" + HOST + more + b"\r\n"
+
+
+def post(more: bytes, body: bytes = b"") -> bytes:
+    """Returns a POST with further header lines and a body."""
+    return b"POST /p HTTP/1.1\r\n" + HOST + more + b"\r\n" + body
+
+
 async def read_response(reader: asyncio.StreamReader) -> Response:
     """Reads until the connection ends or is quiet."""
     data = b""
