Share the counting of requests in flight between the two pickers

Both kept a view of each target, its requests in flight and the evidence on paths in the same lines; these stand once now, with the place of an ingress. Behaviour and assertions are unchanged.

--- a/bench/detection/feed.py
+++ b/bench/detection/feed.py
@@ -19,6 +19,7 @@
 from sardinedoor_node.health import window
 from sardinedoor_node.health import worker as worker_health
 from sardinedoor_node.membership import table
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.picking import views
 from sardinedoor_node.util import clock
@@ -154,7 +155,7 @@
         )
 
     def _picker(self, number: int) -> twochoices.TwoChoicesPicker:
-        place = twochoices.Place(f"i{number}", f"d{number}")
+        place = counting.Place(f"i{number}", f"d{number}")
         floor = FLOORS[self._case.pool]
         rng = random.Random(f"{self._case!r} {number}")
         return twochoices.TwoChoicesPicker(
--- a/bench/detection/paths.py
+++ b/bench/detection/paths.py
@@ -8,6 +8,7 @@
 
 from detection import feed
 from sardinedoor_node.membership import table
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import path
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.picking import views
@@ -52,7 +53,7 @@
         table.Target(f"w{n}", "service", f"n{n}", False) for n in range(_POOL)
     ]
     picker = twochoices.TwoChoicesPicker(
-        rng, clock, twochoices.Place("i"), lambda service: 3
+        rng, clock, counting.Place("i"), lambda service: 3
     )
     open_requests: list[tuple[float, table.Target, float, bool]] = []
     lost: list[float] = []
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -36,6 +36,7 @@
 from sardinedoor_node.owner import watch
 from sardinedoor_node.owner import watched
 from sardinedoor_node.owner import workers
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.platform import service as platform_service
 from sardinedoor_node.settings import store
@@ -160,7 +161,7 @@
         picker = twochoices.TwoChoicesPicker(
             rng,
             self._clock,
-            twochoices.Place(file.node.name, file.node.failure_domain),
+            counting.Place(file.node.name, file.node.failure_domain),
             self._store.floor,
         )
         self._paths = pathwatch.PathWatch(
--- a/packages/node/src/sardinedoor_node/picking/odds.py
+++ b/packages/node/src/sardinedoor_node/picking/odds.py
@@ -8,8 +8,7 @@
 
 from sardinedoor_node import picking
 from sardinedoor_node.health import worker
-from sardinedoor_node.picking import path
-from sardinedoor_node.picking import twochoices
+from sardinedoor_node.picking import counting
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -44,14 +43,14 @@
     trial_at: float = 0.0
 
 
-class OddsPicker(picking.Picker):
+class OddsPicker(counting.CountingPicker[_View]):
     """Compares a few targets, near ones first."""
 
     def __init__(
         self,
         rng: random.Random,
         time: clock.Clock,
-        place: twochoices.Place,
+        place: counting.Place,
         rates: spells.Rates,
     ):
         """Starts knowing nothing of any target.
@@ -62,17 +61,8 @@
             place: Where the ingress is.
             rates: How targets fall sick and recover.
         """
-        self._rng = rng
-        self._clock = time
-        self._place = place
+        super().__init__(rng, time, place)
         self._rates = rates
-        self._views: dict[str, _View] = {}
-        self._paths = path.PathEvidence()
-
-    @property
-    def paths(self) -> path.PathEvidence:
-        """Evidence on the paths to owners."""
-        return self._paths
 
     def pick(
         self,
@@ -140,36 +130,14 @@
         kept = math.exp(-age_s / rates.relaxation_s)
         return rates.sick_share + (view.sick - rates.sick_share) * kept
 
-    def _is_near(self, target: table.Target) -> bool:
-        return target.failure_domain == self._place.domain
-
-    def _view(self, name: str) -> _View:
-        view = self._views.get(name)
-        if view is None:
-            view = self._views[name] = _View()
-        return view
+    def _new_view(self) -> _View:
+        return _View()
 
-    def started(self, target: table.Target) -> float:
-        """See base class."""
-        now = self._clock.monotonic()
-        self._view(target.worker).in_flight += 1
-        self._paths.sent(target.node, now)
-        return now
+    def _is_unreachable(self, feedback: views.Feedback) -> bool:
+        return feedback.refused or feedback.silent
 
-    def finished(
-        self, target: table.Target, token: float, feedback: views.Feedback
-    ) -> None:
-        """See base class."""
-        now = self._clock.monotonic()
-        view = self._view(target.worker)
-        view.in_flight -= 1
-        unreachable = feedback.refused or feedback.silent
-        self._paths.finished(
-            target.node, token, feedback.heard_at, unreachable, now
-        )
-        report = feedback.report
-        if report is not None:
-            view.heard_at = now
-            view.busy = report.busy
-            view.sick = 1 - report.weight
-            view.trial_at = now + report.trial_in_s
+    def _take(self, view: _View, report: views.Report, now: float) -> None:
+        view.heard_at = now
+        view.busy = report.busy
+        view.sick = 1 - report.weight
+        view.trial_at = now + report.trial_in_s
--- a/packages/node/src/sardinedoor_node/picking/twochoices.py
+++ b/packages/node/src/sardinedoor_node/picking/twochoices.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
-import random
 from typing import TYPE_CHECKING
 
 from sardinedoor_node import picking
 from sardinedoor_node.health import worker
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import floor
-from sardinedoor_node.picking import path
 from sardinedoor_node.picking import ranking
 from sardinedoor_node.picking import views
 
@@ -18,6 +16,7 @@
     from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Sequence
+    import random
 
     from sardinedoor_node.membership import table
     from sardinedoor_node.util import clock
@@ -29,27 +28,14 @@
 _PATH_BADNESS = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class Place:
-    """Where an ingress is.
-
-    Attributes:
-        node: Name of the ingress's node.
-        domain: Its failure domain.
-    """
-
-    node: str = ""
-    domain: str = ""
-
-
-class TwoChoicesPicker(picking.Picker):
+class TwoChoicesPicker(counting.CountingPicker[views.View]):
     """Compares two random targets by requests in flight and load."""
 
     def __init__(
         self,
         rng: random.Random,
         time: clock.Clock,
-        place: Place,
+        place: counting.Place,
         floor_of: Callable[[str], int],
     ):
         """Starts knowing nothing of any target.
@@ -60,19 +46,10 @@
             place: Where the ingress is.
             floor_of: Floor by name of service.
         """
-        self._rng = rng
-        self._clock = time
-        self._place = place
+        super().__init__(rng, time, place)
         self._floor_of = floor_of
-        self._views: dict[str, views.View] = {}
-        self._paths = path.PathEvidence()
         self._ranks: dict[str, int] = {}
 
-    @property
-    def paths(self) -> path.PathEvidence:
-        """Evidence on the paths to owners."""
-        return self._paths
-
     def rotation(self, candidates: Iterable[table.Target]) -> floor.Rotation:
         """Splits a service's targets by this node's own view.
 
@@ -146,9 +123,6 @@
             targets, SUBSET_SIZE, SUBSET_NEAR, self._is_near, self._rank
         )
 
-    def _is_near(self, target: table.Target) -> bool:
-        return target.failure_domain == self._place.domain
-
     def _rank(self, node: str) -> int:
         found = self._ranks.get(node)
         if found is None:
@@ -178,29 +152,8 @@
     def _load(self, target: table.Target, now: float) -> int:
         return self._view(target.worker).load(now)
 
-    def _view(self, name: str) -> views.View:
-        view = self._views.get(name)
-        if view is None:
-            view = views.View()
-            self._views[name] = view
-        return view
+    def _new_view(self) -> views.View:
+        return views.View()
 
-    def started(self, target: table.Target) -> float:
-        """See base class."""
-        now = self._clock.monotonic()
-        self._view(target.worker).in_flight += 1
-        self._paths.sent(target.node, now)
-        return now
-
-    def finished(
-        self, target: table.Target, token: float, feedback: views.Feedback
-    ) -> None:
-        """See base class."""
-        now = self._clock.monotonic()
-        view = self._view(target.worker)
-        view.in_flight -= 1
-        self._paths.finished(
-            target.node, token, feedback.heard_at, feedback.refused, now
-        )
-        if feedback.report is not None:
-            view.take(feedback.report, now)
+    def _take(self, view: views.View, report: views.Report, now: float) -> None:
+        view.take(report, now)
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -30,8 +30,8 @@
 from sardinedoor_node.owner import suspects
 from sardinedoor_node.owner import target
 from sardinedoor_node.owner import workers
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import odds
-from sardinedoor_node.picking import twochoices
 from sardinedoor_node.published import catalog
 from sardinedoor_node.published import fleet
 from sardinedoor_node.published import follower
@@ -209,7 +209,7 @@
         picker = odds.OddsPicker(
             self._rng,
             self._clock,
-            twochoices.Place(settings.link, settings.failure_domain),
+            counting.Place(settings.link, settings.failure_domain),
             rates,
         )
         self._silence = silence.SilenceWatch(
--- a/packages/standins/src/sardinedoor_standins/memfleet.py
+++ b/packages/standins/src/sardinedoor_standins/memfleet.py
@@ -19,6 +19,7 @@
 from sardinedoor_node.owner import notices
 from sardinedoor_node.owner import suspects
 from sardinedoor_node.owner import workers
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.settings import store
 from sardinedoor_node.util import tasks
@@ -138,7 +139,7 @@
             twochoices.TwoChoicesPicker(
                 random.Random(fleet.rng.random()),
                 self.clock,
-                twochoices.Place(self.name),
+                counting.Place(self.name),
                 self.store.floor,
             ),
             table_of_exchanges,
--- a/tests/test_picking/test_picking_floor.py
+++ b/tests/test_picking/test_picking_floor.py
@@ -9,6 +9,7 @@
 import testtools
 
 from sardinedoor_node.membership import table
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import floor
 from sardinedoor_node.picking import twochoices
 from sardinedoor_node.picking import views
@@ -63,7 +64,7 @@
             twochoices.TwoChoicesPicker(
                 random.Random(seed),
                 clock,
-                twochoices.Place(f"i{number}", "x"),
+                counting.Place(f"i{number}", "x"),
                 lambda service: least,
             )
             for number in range(3)
--- a/tests/test_picking/test_picking_odds.py
+++ b/tests/test_picking/test_picking_odds.py
@@ -10,8 +10,8 @@
 from sardinedoor_node.health import spells
 from sardinedoor_node.health import worker
 from sardinedoor_node.membership import targets
+from sardinedoor_node.picking import counting
 from sardinedoor_node.picking import odds
-from sardinedoor_node.picking import twochoices
 from sardinedoor_node.picking import views
 from sardinedoor_standins import virtualtime
 
@@ -39,7 +39,7 @@
         self.picker = odds.OddsPicker(
             random.Random(seed),
             self.time,
-            twochoices.Place("own", domain),
+            counting.Place("own", domain),
             spells.Rates(),
         )
 
