Serve a configuration that holds routes of unknown kinds

Cause: the adapter looked up a route's kind in a table of two, so that one route of another kind (upload, on the Nile Damp Watch deployment) made the whole document invalid, and no configuration ever came into force.

Refused items are counted as well.

--- a/packages/node/src/sardinedoor_node/published/__init__.py
+++ b/packages/node/src/sardinedoor_node/published/__init__.py
@@ -106,6 +106,8 @@
         connections: Number of connections that a worker accepts, by service.
         max_body_bytes: Largest body of a request, in bytes.
         idle_s: Time after which a caller's idle connection may be closed, in s.
+        unknown_kinds: Kinds of routes that the decoder doesn't know, each
+            once; their routes are not idempotent.
     """
 
     version: int
@@ -113,6 +115,7 @@
     connections: dict[str, int]
     max_body_bytes: int
     idle_s: float
+    unknown_kinds: list[str] = dataclasses.field(default_factory=list)
 
 
 class Decoder(abc.ABC):
--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from sardinedoor_node import metrics
     from sardinedoor_node.util import clock
 
 logger = logging.getLogger(__name__)
@@ -28,6 +29,8 @@
 OUTAGE_S = 2.6
 # A peer that needs older tombstones gets a snapshot instead.
 _MAX_TOMBSTONES = 1_000
+# Bounds the length of a log line.
+_MAX_LOGGED_NAMES = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,13 +54,20 @@
     from a peer. The replica never returns to a lower revision.
     """
 
-    def __init__(self, decoder: published.Decoder, time: clock.Clock):
+    def __init__(
+        self,
+        decoder: published.Decoder,
+        time: clock.Clock,
+        counters: metrics.Metrics,
+    ):
         """Creates an empty replica at revision 0.
 
         Args:
             decoder: Decodes the published items.
             time: Source of the monotonic time.
+            counters: Counts the items that can't be read in full.
         """
+        self._metrics = counters
         self._decoder = decoder
         self._clock = time
         self._items: dict[str, wire.Item] = {}
@@ -192,7 +202,7 @@
                     "origin": origin,
                     "revision": self.revision,
                     "items": len(applied),
-                    "keys": [item.key for item in applied[:8]],
+                    "keys": [item.key for item in applied[:_MAX_LOGGED_NAMES]],
                 },
             )
             self._notify_listeners()
@@ -240,14 +250,25 @@
         if found is None:
             return
         if found.is_err():
-            _log_refused(item, found.unwrap_err())
+            self._record_refused(item, found.unwrap_err())
             return
         configuration = found.unwrap()
         current = self.configuration
         if current is not None and configuration.version <= current.version:
-            _log_refused(item, f"version {configuration.version} isn't newer")
+            self._record_refused(
+                item, f"version {configuration.version} isn't newer"
+            )
             return
         self.configuration = configuration
+        if configuration.unknown_kinds:
+            self._metrics.event("unknown_route_kind")
+            logger.warning(
+                "routes of unknown kinds are taken as not idempotent",
+                extra={
+                    "version": configuration.version,
+                    "kinds": configuration.unknown_kinds[:_MAX_LOGGED_NAMES],
+                },
+            )
         logger.info(
             "configuration in force",
             extra={
@@ -272,7 +293,7 @@
         if found is None:
             return
         if found.is_err():
-            _log_refused(item, found.unwrap_err())
+            self._record_refused(item, found.unwrap_err())
             return
         self._workers[name] = found.unwrap()
         self._first_revision_by_worker.setdefault(name, item.revision)
@@ -315,9 +336,13 @@
             entry.name, 0
         )
 
-
-def _log_refused(item: wire.Item, reason: str) -> None:
-    logger.warning(
-        "published item refused",
-        extra={"key": item.key, "revision": item.revision, "reason": reason},
-    )
+    def _record_refused(self, item: wire.Item, reason: str) -> None:
+        self._metrics.event("published_item_refused")
+        logger.warning(
+            "published item refused",
+            extra={
+                "key": item.key,
+                "revision": item.revision,
+                "reason": reason,
+            },
+        )
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -137,7 +137,9 @@
         self._stopping = asyncio.Event()
         self._leaving = False
         incarnation = secrets.token_bytes(_INCARNATION_BYTES)
-        self._catalog = catalog.Catalog(adapters.decoder, self._clock)
+        self._catalog = catalog.Catalog(
+            adapters.decoder, self._clock, self._metrics
+        )
         self._fleet = fleet.PublishedDirectory(
             settings.link_address, self._catalog, self._clock
         )
