--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import pathlib
 
+SOURCE_FOLDER = (
+    pathlib.Path(__file__).resolve().parent.parent / "packages/node/src"
+)
+PACKAGE_NAME = "sardinedoor_node"
 _ROUTING_TESTS = tuple(
     f"tests/{name}"
     for name in (
@@ -184,19 +189,19 @@
     Mechanism(
         "a request that isn't idempotent takes a fresh connection",
         "owner/target.py",
-        "stream = self._take_idle() if idempotent else None",
-        "stream = self._take_idle()",
+        "math.inf if idempotent else self._max_reuse_idle_s",
+        "math.inf",
     ),
     Mechanism(
         "a silent kept connection is replaced",
         "owner/target.py",
-        "silent = min(deadline, now + SILENT_S)",
-        "silent = deadline",
+        "silence_deadline = min(deadline, now + self._silence_timeout_s)",
+        "silence_deadline = deadline",
     ),
     Mechanism(
         "a silent node link is replaced",
         "link/zeromq.py",
-        "            _configure_heartbeat(dealer)\n",
+        "            _configure_heartbeat(dealer, self._heartbeat_ms)\n",
         "            pass\n",
     ),
     Mechanism(
@@ -313,3 +318,13 @@
         _PUBLISHED_TESTS,
     ),
 ]
+
+
+def missing_texts() -> list[str]:
+    """Names the mechanisms whose text isn't exactly once in the source."""
+    package = SOURCE_FOLDER / PACKAGE_NAME
+    return [
+        mechanism.name
+        for mechanism in MECHANISMS
+        if (package / mechanism.file).read_text().count(mechanism.old) != 1
+    ]
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -3,7 +3,7 @@
 Each mutant is a temporary copy of the node's source in which one mechanism is
 disabled by replacing one piece of text. The fault grid or the tests must detect
 the mutant; a mutant that they do not detect has survived. The exit status is 1
-if any mutant survived.
+if any mutant survived, and 2, before any run, if a text is not in the source.
 """
 
 from __future__ import annotations
@@ -21,8 +21,6 @@
 import typer
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-_SOURCE_FOLDER = _ROOT / "packages/node/src"
-_PACKAGE_NAME = "sardinedoor_node"
 _GRID_PROGRAM = _ROOT / "bench/faultgrid.py"
 _EXCHANGE_TESTS = [
     _ROOT / "tests/test_link/test_link_silence.py",
@@ -58,17 +56,14 @@
 
     Returns:
         The schedules and tests that failed.
-
-    Raises:
-        ValueError: The text to replace does not occur exactly once.
     """
     with tempfile.TemporaryDirectory() as folder:
-        copy = pathlib.Path(folder) / _PACKAGE_NAME
-        shutil.copytree(_SOURCE_FOLDER / _PACKAGE_NAME, copy)
+        copy = pathlib.Path(folder) / mechanisms.PACKAGE_NAME
+        shutil.copytree(
+            mechanisms.SOURCE_FOLDER / mechanisms.PACKAGE_NAME, copy
+        )
         path = copy / mechanism.file
         text = path.read_text()
-        if text.count(mechanism.old) != 1:
-            raise ValueError(f"{mechanism.name}: text not found exactly once")
         path.write_text(text.replace(mechanism.old, mechanism.new))
         grid_output = ""
         if not mechanism.tests:
@@ -115,6 +110,11 @@
     ] = "",
 ) -> None:
     """Prints the fault schedules and tests that detect each mutant."""
+    missing = mechanisms.missing_texts()
+    for name in missing:
+        print(f"{name}: its text is not exactly once in the source")
+    if missing:
+        raise typer.Exit(2)
     survivors = 0
     for mechanism in mechanisms.MECHANISMS:
         if only not in mechanism.file:
