Offer a request again once a link that was opening is open

Cause, by a schedule that always fails: a link to an owner opens at the first offer. If it isn't open within 0.1 s, the offer ends as LINK_DOWN, and the owner counted as tried for good. Where it was the only other one, the request was refused, or an idempotent request that had failed elsewhere wasn't repeated.

Owners whose link wasn't open are offered the request again, as those without a free slot, within the same share of the latency objective. An idempotent request that failed once and was charged to the retry budget now waits for a slot as well.

--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -25,9 +25,9 @@
 # Largest number of offers for one request, including those that aren't charged
 # to the retry budget, since each costs a round trip or a failed send.
 MAX_OFFERS = 12
-# Share of the latency objective during which a request that owners refused for
-# lack of a slot is offered again. A refusal after that time would leave the
-# caller too little of the objective to retry elsewhere.
+# Share of the latency objective during which a request is offered again to
+# owners that had no slot, or whose link wasn't open. A refusal after that time
+# would leave the caller too little of the objective to retry elsewhere.
 SLOT_WAIT_SHARE = 0.3
 # Share of the latency objective after which an idempotent request without a
 # reply is also offered to a second target (hedging).
@@ -51,11 +51,13 @@
 _WORKER_REFUSALS = frozenset(
     {codes.Code.TARGET_REFUSED, codes.Code.TARGET_REPLACED}
 )
-# The owner has no slot for the request at the moment. Failover after these
-# codes isn't charged to the retry budget either.
+# The owner has no slot for the request at the moment.
 _NO_SLOT_REFUSALS = frozenset(
     {codes.Code.QUEUE_FULL, codes.Code.ORGANISATION_OVER_SHARE}
 )
+# The owner may accept the request a little later: a slot becomes free, or the
+# link, which opens at the first offer, is ready.
+_TEMPORARY_REFUSALS = _NO_SLOT_REFUSALS | {codes.Code.LINK_DOWN}
 # The request is not offered to other owners after these codes.
 _FINAL_REFUSALS = frozenset(
     {codes.Code.QUARANTINED, codes.Code.DEADLINE_EXPIRED}
@@ -88,14 +90,15 @@
 
     Attributes:
         started_at: When the request arrived, monotonic, in s.
-        tried: Names of the workers that it was offered to since the last wait
-            for a free slot.
+        tried: Names of the workers that it was offered to since the last wait,
+            and of those that may have run it.
         may_have_run: Names of the workers that may have run it.
         offer_records: Log records of the offers that ended.
         last_result: Result of the offer that ended last.
         failure: The result unless a later offer succeeds: the newest reply
             with a server error, else the first failure without a reply.
-        no_slot: Whether any owner refused it for lack of a slot.
+        may_be_accepted_later: Whether an owner that didn't accept it may do so
+            a little later.
         offer_count: Number of offers made.
         answered: Whether a worker replied without a server error.
         stopped: Whether no more offers may be made.
@@ -113,7 +116,7 @@
         default_factory=lambda: attempt.ForwardResult(codes.Code.NO_TARGET)
     )
     failure: attempt.ForwardResult | None = None
-    no_slot: bool = False
+    may_be_accepted_later: bool = False
     offer_count: int = 0
     answered: bool = False
     stopped: bool = False
@@ -195,7 +198,7 @@
                     in_flight = await self._wait_for_offers(
                         job, progress, budget, in_flight
                     )
-                elif progress.stopped or not await self._wait_for_slot(
+                elif progress.stopped or not await self._wait_for_acceptance(
                     job, progress
                 ):
                     return
@@ -262,10 +265,10 @@
             self._fleet.targets(job.service), progress.tried, may_repeat
         )
 
-    async def _wait_for_slot(
+    async def _wait_for_acceptance(
         self, job: attempt.Job, progress: Progress
     ) -> bool:
-        """Waits before all targets are tried again, if a slot may become free.
+        """Waits before targets are tried again, if one may accept it by then.
 
         Returns:
             False if another round of offers isn't useful or would be late.
@@ -275,13 +278,12 @@
             progress.started_at + SLOT_WAIT_SHARE * job.objective_s
         )
         if (
-            not progress.no_slot
-            or progress.may_have_run
+            not progress.may_be_accepted_later
             or now + _SLOT_RETRY_INTERVAL_S > latest_retry_at
         ):
             return False
         await self._clock.sleep(_SLOT_RETRY_INTERVAL_S)
-        progress.tried.clear()
+        progress.tried = set(progress.may_have_run)
         return True
 
     async def _offer(
@@ -325,7 +327,8 @@
         """Records the result of an offer and decides on further offers."""
         progress.last_result = result
         code = result.code
-        progress.no_slot = progress.no_slot or code in _NO_SLOT_REFUSALS
+        if code in _TEMPORARY_REFUSALS:
+            progress.may_be_accepted_later = True
         self._metrics.retry(code.name.lower())
         if code in _FREE_REFUSALS or code in _NO_SLOT_REFUSALS:
             return
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -58,7 +58,8 @@
     """Answers the offer to each worker as scripted.
 
     The script maps the name of a worker to the delay of its answer in seconds
-    and to an HTTP status or a result code.
+    and to an HTTP status or a result code. A list has the answers to the first
+    offers; its last one is repeated.
     """
 
     def __init__(self, script: dict):
@@ -69,7 +70,12 @@
     async def send(self, job, choice) -> attempt.ForwardResult:
         name = choice.target.worker
         self.offered.append(name)
-        delay_s, answer = self.script[name]
+        scripted = self.script[name]
+        if isinstance(scripted, list):
+            scripted = scripted[
+                min(self.offered.count(name), len(scripted)) - 1
+            ]
+        delay_s, answer = scripted
         try:
             await asyncio.sleep(delay_s)
         except asyncio.CancelledError:
@@ -145,6 +151,26 @@
                 self.assertEqual(200, result.reply.status, code)
                 self.assertEqual(["a", "b"], sender.offered)
 
+    def test_target_whose_link_is_opening_is_offered_again(self):
+        opening = [(0, _C.LINK_DOWN), (0, 200)]
+        for idempotent in (False, True):
+            result, sender = _forward({"a": opening}, idempotent)
+            self.assertEqual(200, result.reply.status)
+            self.assertEqual(["a", "a"], sender.offered)
+
+    def test_link_that_stays_down_is_given_up_early(self):
+        result, sender = _forward({"a": (0, _C.LINK_DOWN)}, False)
+        self.assertEqual(_C.LINK_DOWN, result.code)
+        self.assertLess(len(sender.offered), 5)
+
+    def test_failed_request_is_repeated_once_another_owner_has_a_slot(self):
+        for refusal in (_C.LINK_DOWN, _C.QUEUE_FULL):
+            result, sender = _forward(
+                {"a": (0, 500), "b": [(0, refusal), (0, 200)]}, True
+            )
+            self.assertEqual(200, result.reply.status, refusal)
+            self.assertEqual(["a", "b", "b"], sender.offered)
+
     def test_request_that_may_have_run_is_repeated_only_if_idempotent(self):
         for answer in (500, _C.TARGET_CONNECTION_LOST, _C.REPLY_INVALID):
             result, sender = _forward({"a": (0, answer), "b": (0, 200)}, False)
