Wait for slots in owners' queues, and tell doubtful targets from failing ones

A few owners are asked for a free slot, then the request waits in the two shortest of their queues and takes the first slot; owners refuse at once what would wait too long. Targets that are probably failing come last, and not at all for requests that can't be repeated where the odds are above 0.9. Owners admit such requests below 0.35 rather than 0.5, and trials only where the retry budget allows a second run. A queued offer can be withdrawn.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -13,6 +13,7 @@
     f"tests/{name}"
     for name in (
         "test_ingress/test_ingress_failover.py",
+        "test_ingress/test_ingress_load.py",
         "test_ingress/test_ingress_nesting.py",
         "test_limits/test_limits_retrywindow.py",
         "test_picking/test_picking_leastcost.py",
@@ -206,19 +207,47 @@
     ),
     Mechanism(
         "work that may have run is repeated only if idempotent",
-        "ingress/failover.py",
+        "ingress/strategy.py",
         "job.idempotent and len(progress.may_have_run)",
         "len(progress.may_have_run)",
         _ROUTING_TESTS,
     ),
     Mechanism(
         "rejected arrivals draw on the budget",
-        "ingress/failover.py",
+        "ingress/strategy.py",
         "                code in _WORKER_REFUSALS\n"
         "                and not budget.withdraw(now, rerun=False)\n",
         "                False\n",
         _ROUTING_TESTS,
     ),
+    Mechanism(
+        "one of several offers that wait is redeemed",
+        "ingress/failover.py",
+        "return self._winner is current",
+        "return True",
+        _ROUTING_TESTS,
+    ),
+    Mechanism(
+        "the first slot ends the wait in other queues",
+        "ingress/failover.py",
+        "                task.cancel()\n        return self",
+        "                pass\n        return self",
+        _ROUTING_TESTS,
+    ),
+    Mechanism(
+        "an offer that waits for a slot can be withdrawn",
+        "owner/exchange.py",
+        "return not self.run_started and not self.offer.key",
+        "return False",
+        (*_ROUTING_TESTS, "tests/test_owner/test_owner_exchange.py"),
+    ),
+    Mechanism(
+        "a request that can't be repeated is no trial",
+        "owner/breaker.py",
+        "if not offer.may_repeat or now < self._next_trial_at:",
+        "if now < self._next_trial_at:",
+        _ROUTING_TESTS,
+    ),
     Mechanism(
         "calls that workers make earn no retries",
         "ingress/failover.py",
--- a/packages/node/src/sardinedoor_node/health/markovfilter.py
+++ b/packages/node/src/sardinedoor_node/health/markovfilter.py
@@ -24,7 +24,7 @@
 
     failing_share: float = 0.3
     mean_failing_s: float = 9.0
-    failing_error_share: float = 0.75
+    failing_error_share: float = 0.8
     healthy_error_share: float = 0.015
 
     @property
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -13,6 +13,8 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardinedoor_node import link
     from sardinedoor_node.util import clock
     from sardinedoor_schema import base
@@ -41,6 +43,8 @@
         may_have_started: Whether a Go message was sent for it, so that a
             worker may have started it and it can't be cancelled any more.
         repeats: Whether another worker may be running it or have run it.
+        may_repeat: Whether it may run again, within its limits and the retry
+            budget, if the next run fails.
         nested: Whether the node's own worker may have made it while running
             another request.
     """
@@ -58,6 +62,7 @@
     max_runs: int = 1
     may_have_started: bool = False
     repeats: bool = False
+    may_repeat: bool = False
     nested: bool = False
 
     @property
@@ -94,6 +99,7 @@
         inbox: asyncio.Queue[base.Message],
         time: clock.Clock,
         hold_timeout_s: float = HOLD_TIMEOUT_S,
+        claim: Callable[[], bool] | None = None,
     ):
         """Prepares the exchange; `run` sends the offer.
 
@@ -104,8 +110,11 @@
             inbox: Receives the owner's messages of this exchange.
             time: The clock.
             hold_timeout_s: Longest wait for a hold, in s.
+            claim: Returns whether the request may be sent, now that a slot is
+                held for it; None if it always may.
         """
         self._hold_timeout_s = hold_timeout_s
+        self._claim = claim
         self._job = job
         self._offer = offer
         self._channel = channel
@@ -159,6 +168,8 @@
             code = self._expiry_code(sent_at, message)
             if code is not None:
                 return self._failure(code)
+            if self._claim is not None and not self._claim():
+                return self._failure(codes.Code.TICKET_LAPSED)
             hold_settled = self._send_go(message)
         finally:
             # The owner may hold a slot that won't be used: release it.
@@ -193,9 +204,10 @@
         return None
 
     def _hold_lifetime_s(self, held: wire.Held) -> float:
-        # An offer with an idempotency key may be held long after it was sent,
-        # so its age is no measure of the hold's; the owner checks the ticket.
-        if self._job.is_keyed:
+        # An offer with an idempotency key, or one that waits in a queue, may be
+        # held long after it was sent, so its age is no measure of the hold's;
+        # the owner checks the ticket.
+        if self._job.is_keyed or self._claim is not None:
             return self._remaining_s()
         return held.lapse_ms / 1000
 
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -12,6 +12,8 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardinedoor_node import directory
     from sardinedoor_node import link
     from sardinedoor_node import picking
@@ -53,13 +55,21 @@
         self._clock = time
 
     async def send(
-        self, job: attempt.Job, choice: picking.Choice
+        self,
+        job: attempt.Job,
+        choice: picking.Choice,
+        wait_s: float | None = None,
+        claim: Callable[[], bool] | None = None,
     ) -> attempt.ForwardResult:
         """Sends one offer and waits for its result.
 
         Args:
             job: The request.
             choice: The target to offer it to.
+            wait_s: Longest time to wait in the owner's queue, in s; None if
+                the owner limits it.
+            claim: Called before the request is sent, once the owner holds a
+                slot for it. If it returns False, the slot is released.
         """
         target = choice.target
         peer = self._fleet.peer(target.node)
@@ -68,12 +78,20 @@
         channel = self._transport.connect(peer.name, peer.link)
         exchange_id, inbox = self._exchanges.open()
         offer = _build_offer(job, choice, exchange_id, self._clock)
-        hold_first = self._needs_hold(job, channel)
+        if wait_s is not None:
+            offer.wait_ms = max(0, int(wait_s * 1000))
+        hold_first = claim is not None or self._needs_hold(job, channel)
         if not hold_first:
             offer.request = job.request
             offer.owner = peer.incarnation
         exchange = attempt.Attempt(
-            job, offer, channel, inbox, self._clock, self._hold_timeout_s
+            job,
+            offer,
+            channel,
+            inbox,
+            self._clock,
+            self._hold_timeout_s + (wait_s or 0.0),
+            claim,
         )
         token = self._picker.request_started(target)
         result = None
@@ -122,4 +140,5 @@
         ),
         rotation=choice.rotation.value,
         repeats=job.repeats,
+        may_repeat=job.may_repeat,
     )
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -23,6 +23,9 @@
 _BURST_SERVICE_TIMES = 4.0
 _MAX_QUEUED_PER_SLOT = 8
 _SERVICE_TIME_WEIGHT = 0.1
+# A request whose expected wait is above this share of its longest wait is
+# refused at once, since waits vary and it would often be refused at its end.
+_MAX_EXPECTED_WAIT_SHARE = 0.6
 # Smaller differences in usage are noise and no excess of the fair share.
 _OVER_SHARE_FACTOR = 2.0
 
@@ -50,6 +53,8 @@
         charged_s: Slot time charged in advance with the grant, in s.
         granted_at: When the slot was granted, monotonic, in s.
         on_decision: Called once the decision on a queued request is made.
+        max_wait_s: Longest time that it may wait, in s; None if the admission
+            limits it.
     """
 
     cells: tuple[int, ...]
@@ -62,6 +67,7 @@
     charged_s: float = 0.0
     granted_at: float = 0.0
     on_decision: Callable[[], None] | None = None
+    max_wait_s: float | None = None
 
 
 class Admission:
@@ -116,7 +122,12 @@
         self._grant_free_slots(now)
 
     def request(
-        self, organisation: str, priority: int, deadline: float, now: float
+        self,
+        organisation: str,
+        priority: int,
+        deadline: float,
+        now: float,
+        max_wait_s: float | None = None,
     ) -> Waiter:
         """Grants a slot, queues the request or refuses it.
 
@@ -125,13 +136,23 @@
             priority: A higher priority is served first.
             deadline: When the caller stops waiting, monotonic, in s.
             now: Monotonic time, in s.
+            max_wait_s: Longest time that the request may wait, in s. It is
+                refused at once if it would probably wait longer. None leaves
+                the limit to the admission.
 
         Returns:
             The waiter; its decision may still be pending.
         """
         self._last_sequence += 1
         cells = self._usage.cells(organisation)
-        waiter = Waiter(cells, priority, deadline, now, self._last_sequence)
+        waiter = Waiter(
+            cells,
+            priority,
+            deadline,
+            now,
+            self._last_sequence,
+            max_wait_s=max_wait_s,
+        )
         if self._in_flight < self._slots and not self._queue:
             self._last_empty_at = now
             self._grant(waiter, now)
@@ -152,6 +173,13 @@
             limit_s = max(CODEL_TARGET_S, self._service_time_s)
         return min(limit_s, self._max_wait_s)
 
+    def wait_left_s(self, waiter: Waiter, now: float) -> float:
+        """Returns how long a queued request may still wait, in s."""
+        limit_s = waiter.max_wait_s
+        if limit_s is None:
+            limit_s = self.wait_limit_s(now)
+        return min(waiter.arrived_at + limit_s, waiter.deadline) - now
+
     def time_out(self, waiter: Waiter, now: float) -> None:
         """Refuses a queued request that has waited too long.
 
@@ -189,10 +217,17 @@
         ahead = sum(1 for w in self._queue if self._rank(w, now) < own)
         wait_s = (ahead + 1) * self._service_time_s / self._slots
         left_s = waiter.deadline - now - self._service_time_s
-        return wait_s <= min(self.wait_limit_s(now), left_s)
+        limit_s = self.wait_left_s(waiter, now)
+        if waiter.max_wait_s is not None:
+            limit_s *= _MAX_EXPECTED_WAIT_SHARE
+        return wait_s <= min(limit_s, left_s)
 
     def _displace(self, waiter: Waiter, now: float) -> bool:
-        if not self._queue or waiter.deadline - now < self._service_time_s:
+        if (
+            not self._queue
+            or waiter.max_wait_s == 0
+            or waiter.deadline - now < self._service_time_s
+        ):
             return False
         own_s = self._usage.usage_s(waiter.cells, now)
         victim = max(self._queue, key=lambda w: self._rank(w, now))
@@ -242,7 +277,7 @@
     def _is_expired(self, waiter: Waiter, now: float) -> bool:
         if waiter.deadline - now <= self._service_time_s / 2:
             return True
-        return now - waiter.arrived_at > self.wait_limit_s(now)
+        return self.wait_left_s(waiter, now) < 0
 
     def _expiry_code(self, waiter: Waiter, now: float) -> codes.Code:
         if waiter.deadline <= now:
--- a/packages/node/src/sardinedoor_node/owner/breaker.py
+++ b/packages/node/src/sardinedoor_node/owner/breaker.py
@@ -19,9 +19,12 @@
 
 logger = logging.getLogger(__name__)
 
-# Below even odds the request is served here: the owner that it would be
-# rerouted to may be failing as well.
+# Below even odds an idempotent request is served here: the owner that it would
+# be rerouted to may be failing as well.
 OPEN_PROBABILITY = 0.5
+# A request that isn't idempotent can't be repeated if it fails, so it is
+# admitted only on recent evidence that the worker is healthy.
+MAX_UNREPEATABLE_PROBABILITY = 0.35
 # While the breaker is open, idempotent trial requests are admitted at this
 # interval. A recovered target is recognised after a few of them.
 TRIAL_INTERVAL_S = 1.3
@@ -85,12 +88,16 @@
     def admits(self, offer: wire.Offer) -> bool:
         """See base class."""
         now = self._clock.monotonic()
-        if self._filter.failing_probability(now) < OPEN_PROBABILITY:
+        failing_probability = self._filter.failing_probability(now)
+        limit = MAX_UNREPEATABLE_PROBABILITY
+        if offer.may_repeat:
+            limit = OPEN_PROBABILITY
+        if failing_probability < limit:
             return True
         rotation = worker.Rotation(offer.rotation)
         if rotation is worker.Rotation.FLOOR:
             return True
-        if not offer.idempotent or now < self._next_trial_at:
+        if not offer.may_repeat or now < self._next_trial_at:
             return False
         self._next_trial_at = now + TRIAL_INTERVAL_S
         return True
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -43,6 +43,7 @@
         deadline: When the offer expires, by the owner's monotonic clock, in s.
         ticket: Ticket that the `Go` named; empty before.
         run_started: Whether the request may have been sent to the worker.
+        task: Task that runs the exchange, once it is started.
     """
 
     def __init__(
@@ -61,6 +62,18 @@
         self.deadline = deadline
         self.ticket = b""
         self.run_started = False
+        self.task: asyncio.Task | None = None
+
+    @property
+    def can_be_cancelled(self) -> bool:
+        """Whether its task may be cancelled.
+
+        A run that isn't idempotent ends with its outcome, and an idempotency
+        key stays recorded until its request has ended.
+        """
+        if self.offer.idempotent:
+            return True
+        return not self.run_started and not self.offer.key
 
     def refuse(
         self,
@@ -112,7 +125,7 @@
                 plain HTTP by default.
         """
         self._dialect = target_dialect or dialect.PlainDialect()
-        self._idempotent_tasks: dict[bytes, asyncio.Task] = {}
+        self._exchanges: dict[bytes, Exchange] = {}
         self._incarnation = incarnation
         self._workers = local
         self._quarantine = crash_quarantine
@@ -160,12 +173,11 @@
             return
         deadline = self._clock.monotonic() + offer.remaining_ms / 1000
         exchange = Exchange(channel, offer, deadline)
-        task = self._tasks.spawn(self._handle(exchange), "exchange")
-        if offer.idempotent:
-            self._idempotent_tasks[offer.id] = task
-            task.add_done_callback(
-                lambda task: self._idempotent_tasks.pop(offer.id, None)
-            )
+        exchange.task = self._tasks.spawn(self._handle(exchange), "exchange")
+        self._exchanges[offer.id] = exchange
+        exchange.task.add_done_callback(
+            lambda task: self._exchanges.pop(offer.id, None)
+        )
 
     def on_go(self, channel: link.Channel, go: wire.Go) -> None:
         """Passes a `Go` to the exchange that holds its ticket."""
@@ -181,17 +193,20 @@
         self._metrics.dropped("go_without_ticket")
 
     def on_cancel(self, channel: link.Channel, cancel: wire.Cancel) -> None:
-        """Releases the hold of an offer, or aborts its idempotent run.
+        """Withdraws an offer that waits or is held, or an idempotent run.
 
         The id is recorded, so an offer that arrives after its cancel is
         dropped as a duplicate.
         """
         del channel
         self._offer_ids.add(cancel.id)
-        self._holds.cancel(cancel.id)
-        running = self._idempotent_tasks.get(cancel.id)
-        if running is not None:
-            running.cancel()
+        exchange = self._exchanges.get(cancel.id)
+        if exchange is None:
+            return
+        if exchange.can_be_cancelled:
+            exchange.task.cancel()
+        else:
+            self._holds.cancel(cancel.id)
 
     async def _handle(self, exchange: Exchange) -> None:
         try:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -7,6 +7,8 @@
 import secrets
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from sardinedoor_node.limits import admission
 from sardinedoor_node.owner import target
 from sardinedoor_schema import codes
@@ -162,8 +164,11 @@
             `release_slot`.
         """
         now = time.monotonic()
+        max_wait_s = None
+        if not isinstance(offer.wait_ms, msgspec.UnsetType):
+            max_wait_s = offer.wait_ms / 1000
         waiter = self._admission.request(
-            offer.organisation, offer.priority, deadline, now
+            offer.organisation, offer.priority, deadline, now, max_wait_s
         )
         if waiter.decision is admission.Decision.WAITING:
             await self._wait_for_decision(waiter, time)
@@ -174,10 +179,7 @@
     ) -> None:
         decided = asyncio.Event()
         waiter.on_decision = decided.set
-        now = time.monotonic()
-        timeout_s = min(
-            self._admission.wait_limit_s(now), waiter.deadline - now
-        )
+        timeout_s = self._admission.wait_left_s(waiter, time.monotonic())
         try:
             async with asyncio.timeout(timeout_s):
                 await decided.wait()
--- a/packages/node/src/sardinedoor_node/picking/__init__.py
+++ b/packages/node/src/sardinedoor_node/picking/__init__.py
@@ -46,6 +46,41 @@
             The choice, or None if no target is left.
         """
 
+    def pick_queues(
+        self, candidates: Sequence[table.Target], count: int, idempotent: bool
+    ) -> list[Choice]:
+        """Picks the targets at whose owners a request waits for a slot.
+
+        Args:
+            candidates: Targets whose owners had no free slot.
+            count: Largest number of targets.
+            idempotent: Whether the request may run twice.
+
+        Returns:
+            The targets with the shortest queues, the best first.
+        """
+        del candidates, count, idempotent
+        return []
+
+    def pick_last_resort(
+        self,
+        candidates: Sequence[table.Target],
+        tried: Collection[str],
+        idempotent: bool = False,
+    ) -> Choice | None:
+        """Picks a target that is probably failing, once no other is left.
+
+        Args:
+            candidates: Live targets of the service that are not leaving.
+            tried: Names of workers that must not be picked again.
+            idempotent: Whether the request may run twice.
+
+        Returns:
+            The least doubtful target, or None if a refusal is better.
+        """
+        del candidates, tried, idempotent
+        return None
+
     def failing_probability(self, target: table.Target) -> float:
         """Returns the probability that a target is failing; 0 if unknown."""
         del target
--- a/packages/node/src/sardinedoor_node/picking/leastcost.py
+++ b/packages/node/src/sardinedoor_node/picking/leastcost.py
@@ -23,6 +23,12 @@
 # Targets at or above this failing probability get only trials while others
 # are below it.
 _FAILING_THRESHOLD = 0.5
+# For requests that aren't idempotent, owners refuse at this probability, which
+# a recent report tells in advance.
+_UNREPEATABLE_THRESHOLD = 0.35
+# Above this failing probability a request that isn't idempotent is refused, as
+# not run, rather than tried as a last resort.
+_MAX_LAST_RESORT_PROBABILITY = 0.9
 # Costs in units of the load of a target whose slots are all busy. A failing
 # target costs more for requests that are not idempotent, because these cannot
 # be retried once they may have run.
@@ -89,18 +95,13 @@
         ] or untried
         if not reachable:
             return None
-        failing = [
-            t
-            for t in reachable
-            if self._failing_probability(t, now) >= _FAILING_THRESHOLD
-        ]
+        failing = [t for t in reachable if self._is_failing(t, idempotent, now)]
         if idempotent and not tried:
             trial = self._due_trial(failing, now)
             if trial is not None:
                 return picking.Choice(trial, worker.Rotation.TRIAL)
         if len(failing) == len(reachable):
-            best = min(failing, key=lambda t: self._cost(t, idempotent, now))
-            return picking.Choice(best, worker.Rotation.FLOOR)
+            return None
         failing_names = {t.worker for t in failing}
         healthy = [t for t in reachable if t.worker not in failing_names]
         sample = self._sample(healthy)
@@ -108,6 +109,48 @@
             min(sample, key=lambda t: self._cost(t, idempotent, now))
         )
 
+    def pick_queues(
+        self, candidates: Sequence[table.Target], count: int, idempotent: bool
+    ) -> list[picking.Choice]:
+        """See base class."""
+        now = self._clock.monotonic()
+        usable = [
+            t for t in candidates if not self._is_failing(t, idempotent, now)
+        ]
+        usable.sort(key=lambda t: self._cost(t, idempotent, now))
+        return [picking.Choice(t) for t in usable[:count]]
+
+    def pick_last_resort(
+        self,
+        candidates: Sequence[table.Target],
+        tried: Collection[str],
+        idempotent: bool = False,
+    ) -> picking.Choice | None:
+        """See base class."""
+        now = self._clock.monotonic()
+        limit = 1.0 if idempotent else _MAX_LAST_RESORT_PROBABILITY
+        doubtful = [
+            t
+            for t in candidates
+            if t.worker not in tried
+            and not self._paths.is_suspected(t.node, now)
+            and self._is_failing(t, idempotent, now)
+            and self._failing_probability(t, now) < limit
+        ]
+        if not doubtful:
+            return None
+        best = min(doubtful, key=lambda t: self._cost(t, idempotent, now))
+        return picking.Choice(best, worker.Rotation.FLOOR)
+
+    def _is_failing(
+        self, target: table.Target, idempotent: bool, now: float
+    ) -> bool:
+        threshold = _FAILING_THRESHOLD
+        report_age_s = now - self._view(target.worker).reported_at
+        if not idempotent and report_age_s < _LOAD_REPORT_TTL_S:
+            threshold = _UNREPEATABLE_THRESHOLD
+        return self._failing_probability(target, now) >= threshold
+
     def failing_probability(self, target: table.Target) -> float:
         """See base class."""
         return self._failing_probability(target, self._clock.monotonic())
--- /dev/null
+++ b/tests/test_ingress/test_ingress_load.py
@@ -0,0 +1,72 @@
+"""What callers get when a third of the targets fail and slots are scarce."""
+
+from __future__ import annotations
+
+import logging
+
+import testtools
+
+from sardinedoor_standins import loadsim
+
+_WORK_S = 0.34
+# Of the requests that the healthy targets have slots for, this share has to be
+# answered within the objective. The rest covers requests that fail by
+# themselves, or as the first ones at a target that begins to fail.
+_MIN_SERVED_SHARE = 0.9
+# Urgent requests may be served less often than others by this share at most.
+_MAX_INVERSION = 0.05
+# Share of all slots that is in use if every request is served.
+_USUAL_LOAD = 0.43
+_HEAVY_LOAD = 0.6
+
+
+def _play(
+    plan: loadsim.Plan, load: float, seed: int, seconds: float = 8.0
+) -> tuple[list[loadsim.Tally], loadsim.LoadFleet]:
+    logging.disable(logging.CRITICAL)
+    try:
+        fleet = loadsim.LoadFleet(plan, seed)
+        rate = load * plan.nodes * plan.slots / _WORK_S
+        tallies = fleet.run(
+            [
+                loadsim.Load(0.23 * rate, True, 0.28, priority=7),
+                loadsim.Load(0.77 * rate, False, 0.36, priority=8),
+            ],
+            seconds,
+        )
+        return tallies, fleet
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+class LoadTest(testtools.TestCase):
+    def test_usual_load_is_served_while_a_third_of_the_targets_fail(self):
+        tallies, _ = _play(loadsim.Plan(nodes=60), _USUAL_LOAD, seed=1)
+        for tally in tallies:
+            self.assertGreaterEqual(tally.served_share, _MIN_SERVED_SHARE)
+            self.assertLess(tally.refused, 0.02 * tally.asked)
+
+    def test_heavy_load_is_served_as_far_as_healthy_targets_have_slots(self):
+        for seed in (2, 3):
+            tallies, fleet = _play(loadsim.Plan(nodes=40), _HEAVY_LOAD, seed)
+            counts = loadsim.outcome_counts(tallies)
+            possible = min(1.0, fleet.healthy_share / _HEAVY_LOAD)
+            served_share = counts["in_time"] / counts["asked"]
+            self.assertGreaterEqual(
+                served_share, _MIN_SERVED_SHARE * possible, seed
+            )
+            safe, urgent = tallies
+            self.assertGreaterEqual(
+                urgent.served_share, safe.served_share - _MAX_INVERSION
+            )
+
+    def test_requests_that_cannot_be_served_are_refused_early(self):
+        plan = loadsim.Plan(nodes=30, failing_share=0.0)
+        tallies, fleet = _play(plan, 1.6, seed=3, seconds=6.0)
+        # All slots are in use while requests are refused.
+        self.assertGreaterEqual(fleet.busy_share, 0.95)
+        waits_s = [w for tally in tallies for w in tally.refusal_waits_s]
+        self.assertGreater(len(waits_s), 0)
+        # Nine of ten are refused within an eighth of the objective.
+        early = sum(wait_s < 1.0 / 8 for wait_s in waits_s)
+        self.assertGreaterEqual(early, 0.9 * len(waits_s))
