Keep refusals of a target apart from its failures

A share of refused requests is kept beside the odds. A worker that refuses more than 0.3 gets trials and last resorts only; its chance of serving is reported. After six refusals for the health of targets the request goes to the least doubtful one, rather than using up its twelve offers.

--- a/packages/node/src/sardinedoor_node/ingress/progress.py
+++ b/packages/node/src/sardinedoor_node/ingress/progress.py
@@ -45,6 +45,8 @@
         last_result: Result of the offer that ended last.
         failure: The result unless a later offer succeeds: the newest reply
             with a server error, else the first failure without a reply.
+        ejected_count: Number of owners that refused it for the health of their
+            target.
         link_was_down: Whether an owner's link wasn't open.
         waited: Whether it was offered to owners' queues.
         last_resorts: Names of the workers tried though probably failing.
@@ -66,6 +68,7 @@
         default_factory=lambda: attempt.ForwardResult(codes.Code.NO_TARGET)
     )
     failure: attempt.ForwardResult | None = None
+    ejected_count: int = 0
     link_was_down: bool = False
     waited: bool = False
     last_resorts: set[str] = dataclasses.field(default_factory=set)
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -36,6 +36,9 @@
 MAX_OFFERS = 12
 # Owners without a free slot that are asked before the request joins a queue.
 MAX_BUSY_OWNERS = 4
+# Owners that refuse for the health of their target, before the request is
+# offered to a doubtful target. Their refusals tell how doubtful each one is.
+MAX_EJECTED_TARGETS = 6
 # Owners in whose queues a request waits at the same time.
 QUEUES_PER_REQUEST = 2
 # Share of the latency objective during which a request may wait for a slot. A
@@ -123,7 +126,10 @@
         """
         if progress.stopped or progress.offer_count >= MAX_OFFERS:
             return Step()
-        if len(progress.busy) < MAX_BUSY_OWNERS:
+        if (
+            len(progress.busy) < MAX_BUSY_OWNERS
+            and progress.ejected_count < MAX_EJECTED_TARGETS
+        ):
             choice = self._picker.pick(
                 candidates, progress.tried, job.may_repeat
             )
@@ -139,9 +145,11 @@
             if pause.pause_s:
                 return pause
         choice = self._picker.pick_last_resort(
-            candidates, progress.may_have_run, job.idempotent
+            candidates,
+            progress.may_have_run | progress.last_resorts,
+            job.idempotent,
         )
-        if choice is None or choice.target.worker in progress.last_resorts:
+        if choice is None:
             return Step()
         progress.last_resorts.add(choice.target.worker)
         return Step([choice])
@@ -230,6 +238,8 @@
         self._metrics.retry(code.name.lower())
         if code is codes.Code.LINK_DOWN:
             progress.link_was_down = True
+        if code is codes.Code.TARGET_EJECTED:
+            progress.ejected_count += 1
         if code in _NO_SLOT_REFUSALS:
             progress.busy[choice.target.worker] = choice.target
         if code in _FREE_REFUSALS or code in _NO_SLOT_REFUSALS:
--- a/packages/node/src/sardinedoor_node/owner/breaker.py
+++ b/packages/node/src/sardinedoor_node/owner/breaker.py
@@ -9,6 +9,7 @@
 
 from sardinedoor_node import owner
 from sardinedoor_node.health import markovfilter
+from sardinedoor_node.health import refusalshare
 from sardinedoor_node.health import worker
 from sardinedoor_node.owner import target
 from sardinedoor_schema import codes
@@ -25,6 +26,9 @@
 # A request that isn't idempotent can't be repeated if it fails, so it is
 # admitted only on recent evidence that the worker is healthy.
 MAX_UNREPEATABLE_PROBABILITY = 0.35
+# A worker that refuses more of the requests sent to it gets no more of them than
+# trials, and requests that no other worker takes.
+MAX_REFUSAL_SHARE = 0.3
 # While the breaker is open, idempotent trial requests are admitted at this
 # interval. A recovered target is recognised after a few of them.
 TRIAL_INTERVAL_S = 1.3
@@ -81,6 +85,7 @@
         self._filter = markovfilter.FailureFilter(
             failure_model, time.monotonic()
         )
+        self._refusals = refusalshare.RefusalShare(time.monotonic())
         self._mean_latency_s = 0.0
         self._next_trial_at = 0.0
         self._is_open = False
@@ -89,10 +94,11 @@
         """See base class."""
         now = self._clock.monotonic()
         failing_probability = self._filter.failing_probability(now)
+        refusal_share = self._refusals.share(now)
         limit = MAX_UNREPEATABLE_PROBABILITY
         if offer.may_repeat:
             limit = OPEN_PROBABILITY
-        if failing_probability < limit:
+        if failing_probability < limit and refusal_share < MAX_REFUSAL_SHARE:
             return True
         rotation = worker.Rotation(offer.rotation)
         if rotation is worker.Rotation.FLOOR:
@@ -106,8 +112,13 @@
         """See base class."""
         now = self._clock.monotonic()
         failing_probability = self._filter.failing_probability(now)
-        load.ejected = failing_probability >= OPEN_PROBABILITY
-        load.weight_percent = max(1, round(100 * (1 - failing_probability)))
+        refusal_share = self._refusals.share(now)
+        served_share = (1 - failing_probability) * (1 - refusal_share)
+        load.ejected = (
+            failing_probability >= OPEN_PROBABILITY
+            or refusal_share >= MAX_REFUSAL_SHARE
+        )
+        load.weight_percent = max(1, round(100 * served_share))
         if load.ejected:
             load.trial_ms = max(0, int(1000 * (self._next_trial_at - now)))
 
@@ -141,6 +152,10 @@
             or reply.may_be_stale_connection
         ):
             return
+        refused = reply.code == codes.Code.TARGET_REFUSED
+        self._refusals.record(refused, now)
+        if refused:
+            return
         if reply.code == codes.Code.ANSWERED and reply.status < _SERVER_ERROR:
             latency_s = now - run.started
             self._mean_latency_s += _LATENCY_EWMA_WEIGHT * (
--- a/packages/standins/src/sardinedoor_standins/loadsim.py
+++ b/packages/standins/src/sardinedoor_standins/loadsim.py
@@ -86,6 +86,7 @@
         spell_s: Length of a spell, in s.
         fails: Share of requests that fail in a spell.
         errors: Share of requests that fail otherwise.
+        sheds: Share of requests that each target refuses without running them.
         delay_s: One-way delay of a link, in s.
     """
 
@@ -96,6 +97,7 @@
     spell_s: float = 9.0
     fails: float = 0.8
     errors: float = 0.012
+    sheds: float = 0.0
     delay_s: float = 0.0015
 
 
@@ -215,7 +217,9 @@
     def __init__(self, plan: Plan, rng: random.Random):
         self._plan = plan
         self._rng = rng
-        self._failing = rng.random() < plan.failing_share
+        # The spells of a seed don't depend on the requests.
+        self._spell_rng = random.Random(rng.random())
+        self._failing = self._spell_rng.random() < plan.failing_share
         self._ends_at = 0.0
         self._draw_end(first=True)
         self.busy_s = 0.0
@@ -225,11 +229,11 @@
         mean_s = plan.spell_s
         if not self._failing:
             mean_s *= (1 - plan.failing_share) / max(0.01, plan.failing_share)
-            length_s = self._rng.expovariate(1 / mean_s)
+            length_s = self._spell_rng.expovariate(1 / mean_s)
         else:
-            length_s = mean_s * self._rng.uniform(0.9, 1.1)
+            length_s = mean_s * self._spell_rng.uniform(0.9, 1.1)
             if first:
-                length_s *= self._rng.random()
+                length_s *= self._spell_rng.random()
         self._ends_at += length_s
 
     def is_failing(self, now: float) -> bool:
@@ -250,6 +254,9 @@
         """See base class."""
         del idempotent
         now = asyncio.get_running_loop().time()
+        if self._rng.random() < self._plan.sheds:
+            await asyncio.sleep(_FAILURE_S)
+            return target.TargetReply(codes.Code.TARGET_REFUSED)
         if self._fails(now):
             await asyncio.sleep(_FAILURE_S)
             return target.TargetReply(codes.Code.ANSWERED, status=_SERVER_ERROR)
