Resume exchanges when the link to the owner is lost and restored

Cause: an owner answered on the connection from which the offer came. When that connection was reset or replaced, the answer of a request that was running had nowhere to go: the caller got an unknown outcome at its deadline though its work was done, and a Go that was lost on the way was taken for one that may have run.

A link now keeps its routing id, so that the answer reaches the new connection. The transport tells of lost and restored links; the ingress then asks the owner for the outcome (Resume). An idempotent request whose link isn't restored within 0.3 s fails, so that it can be repeated; an offer without a Go moves on at once.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -20,6 +20,7 @@
     )
 )
 _PUBLISHED_TESTS = ("tests/test_published",)
+_RESUME_TESTS = ("tests/test_ingress/test_ingress_resume.py",)
 
 
 @dataclasses.dataclass(slots=True)
@@ -205,6 +206,34 @@
         "            _configure_heartbeat(dealer, self._heartbeat_ms)\n",
         "            pass\n",
     ),
+    Mechanism(
+        "a link keeps its routing id",
+        "link/zeromq.py",
+        "        dealer.setsockopt(zmq.ROUTING_ID, self._routing_id(name))\n",
+        "",
+        _RESUME_TESTS,
+    ),
+    Mechanism(
+        "an answer is kept until its link is restored",
+        "owner/exchange.py",
+        "        self._finished.add(exchange.offer.id, message)\n",
+        "",
+        _RESUME_TESTS,
+    ),
+    Mechanism(
+        "a request whose go was lost is refused as not run",
+        "owner/exchange.py",
+        "                self._holds.cancel(resume.id)\n",
+        "                pass\n",
+        _RESUME_TESTS,
+    ),
+    Mechanism(
+        "a restarted owner vouches for nothing",
+        "owner/exchange.py",
+        "if resume.owner == self._incarnation and not was_seen:",
+        "if not was_seen:",
+        _RESUME_TESTS,
+    ),
     Mechanism(
         "work that may have run is repeated only if idempotent",
         "ingress/strategy.py",
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -214,12 +214,14 @@
         register(wire.Offer, self._owner.on_offer)
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
+        register(wire.Resume, self._owner.on_resume)
         register(wire.CrashNotice, self._crash_quarantine.on_notice)
         register(wire.ListAgeRequest, self._list_age_query.on_request)
         register(wire.ListAge, self._list_age_query.on_answer)
         register(wire.Held, self._exchanges.on_message)
         register(wire.Reply, self._exchanges.on_message)
         register(wire.Refusal, self._exchanges.on_message)
+        self._transport.on_link_change(self._exchanges.on_link_change)
 
     async def run(self) -> None:
         """Runs the node until its graceful shutdown has finished."""
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sardinedoor_node import link
 from sardinedoor_node.util import digests
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
@@ -15,12 +16,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sardinedoor_node import link
     from sardinedoor_node.util import clock
     from sardinedoor_schema import base
 
 HOLD_TIMEOUT_S = 0.4
 LINK_WAIT_S = 0.1
+# Time for a lost link to be restored, after which the outcome of an idempotent
+# request is taken as unknown, so that it can be repeated elsewhere. A link that
+# was reset is open again after 0.1 s.
+LINK_RESTORE_S = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +100,7 @@
         job: Job,
         offer: wire.Offer,
         channel: link.Channel,
-        inbox: asyncio.Queue[base.Message],
+        inbox: asyncio.Queue[base.Message | link.LinkChange],
         time: clock.Clock,
         hold_timeout_s: float = HOLD_TIMEOUT_S,
         claim: Callable[[], bool] | None = None,
@@ -107,7 +111,8 @@
             job: The request.
             offer: The offer to send.
             channel: Channel to the owner's node.
-            inbox: Receives the owner's messages of this exchange.
+            inbox: Receives the owner's messages of this exchange, and changes
+                of the link.
             time: The clock.
             hold_timeout_s: Longest wait for a hold, in s.
             claim: Returns whether the request may be sent, now that a slot is
@@ -121,6 +126,7 @@
         self._inbox = inbox
         self._clock = time
         self._ticket = b""
+        self._owner = offer.owner
 
     async def run(self, hold_first: bool) -> ForwardResult:
         """Runs the exchange.
@@ -161,7 +167,10 @@
         sent_at = self._clock.monotonic()
         hold_settled = False
         try:
-            message = await self._receive(self._hold_wait_s())
+            message = await self._receive_hold()
+            if isinstance(message, link.LinkChange):
+                # The offer or the hold may be lost.
+                return self._failure(codes.Code.LINK_DOWN)
             if not isinstance(message, wire.Held):
                 hold_settled = message is not None
                 return self._result_without_hold(message)
@@ -179,6 +188,16 @@
             return self._failure(codes.Code.LINK_DOWN)
         return await self._wait_for_reply()
 
+    async def _receive_hold(self) -> base.Message | link.LinkChange | None:
+        """Waits for the answer to the offer, or the loss of the link."""
+        wait_until = self._clock.monotonic() + self._hold_wait_s()
+        while True:
+            wait_s = max(0.0, wait_until - self._clock.monotonic())
+            message = await self._receive(wait_s)
+            # A link that opens announces itself while the offer is sent.
+            if not isinstance(message, link.LinkChange) or not message.is_open:
+                return message
+
     def _hold_wait_s(self) -> float:
         # The home of an idempotency key answers an offer only once an earlier
         # request with the same key has ended.
@@ -214,6 +233,7 @@
     def _send_go(self, held: wire.Held) -> bool:
         remaining_ms = int(self._remaining_s() * 1000)
         self._ticket = held.ticket
+        self._owner = held.owner
         self._job.may_have_started = True
         return self._channel.send(
             wire.Go(
@@ -222,12 +242,39 @@
         )
 
     async def _wait_for_reply(self) -> ForwardResult:
+        lost_at: float | None = None
         while True:
-            message = await self._receive(self._remaining_s())
+            message = await self._receive(self._reply_wait_s(lost_at))
+            if message is None and self._remaining_s() > 0:
+                return self._failure(codes.Code.LINK_LOST)
             if message is None:
                 return self._failure(codes.Code.REPLY_TIMEOUT)
-            if self._ends_exchange(message):
-                return self._result_of_message(message)
+            if not isinstance(message, link.LinkChange):
+                if self._ends_exchange(message):
+                    return self._result_of_message(message)
+            elif not message.is_open:
+                lost_at = lost_at or self._clock.monotonic()
+            elif lost_at is not None:
+                lost_at = None
+                self._resume(message.channel)
+
+    def _reply_wait_s(self, lost_at: float | None) -> float:
+        """Returns the longest time to wait for a reply, in s.
+
+        Args:
+            lost_at: When the link was lost, monotonic, in s; None if it is
+                open.
+        """
+        remaining_s = self._remaining_s()
+        if lost_at is None or not self._job.idempotent:
+            return remaining_s
+        lost_for_s = self._clock.monotonic() - lost_at
+        return min(remaining_s, max(0.0, LINK_RESTORE_S - lost_for_s))
+
+    def _resume(self, channel: link.Channel) -> None:
+        """Asks the owner for the outcome over the link that was restored."""
+        self._channel = channel
+        channel.send(wire.Resume(self._offer.id, self._ticket, self._owner))
 
     def _ends_exchange(self, message: base.Message) -> bool:
         if isinstance(message, wire.Reply):
@@ -239,7 +286,9 @@
         # Go message was accepted.
         return message.ticket == self._ticket
 
-    async def _receive(self, timeout_s: float) -> base.Message | None:
+    async def _receive(
+        self, timeout_s: float
+    ) -> base.Message | link.LinkChange | None:
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._inbox.get()
--- a/packages/node/src/sardinedoor_node/ingress/exchanges.py
+++ b/packages/node/src/sardinedoor_node/ingress/exchanges.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import struct
 from typing import TYPE_CHECKING
 import weakref
@@ -18,6 +19,14 @@
     from sardinedoor_schema import base
 
 
+@dataclasses.dataclass(slots=True)
+class _OpenExchange:
+    """An open exchange: the name of the owner's node, and the inbox."""
+
+    peer: str
+    inbox: asyncio.Queue
+
+
 class ExchangeTable:
     """Inboxes of open exchanges by correlation id."""
 
@@ -40,16 +49,24 @@
         self._incarnation = incarnation
         self._metrics = counters
         self._exchange_count = 0
-        self._inboxes: dict[bytes, asyncio.Queue] = {}
+        self._open: dict[bytes, _OpenExchange] = {}
 
-    def open(self) -> tuple[bytes, asyncio.Queue]:
-        """Opens an exchange; returns its correlation id and its inbox."""
+    def open(self, peer: str) -> tuple[bytes, asyncio.Queue]:
+        """Opens an exchange.
+
+        Args:
+            peer: Name of the owner's node.
+
+        Returns:
+            The correlation id, and the inbox. The inbox gets the owner's
+            messages, and a `link.LinkChange` for each change of the link.
+        """
         self._exchange_count += 1
         exchange_id = self._incarnation + struct.pack(
             ">Q", self._exchange_count
         )
         inbox: asyncio.Queue = asyncio.Queue()
-        self._inboxes[exchange_id] = inbox
+        self._open[exchange_id] = _OpenExchange(peer, inbox)
         return exchange_id, inbox
 
     def last_message_at(self, channel: link.Channel) -> float | None:
@@ -62,7 +79,13 @@
 
     def close(self, exchange_id: bytes) -> None:
         """Closes an exchange; later messages for it are dropped."""
-        self._inboxes.pop(exchange_id, None)
+        self._open.pop(exchange_id, None)
+
+    def on_link_change(self, peer: str, change: link.LinkChange) -> None:
+        """Tells all exchanges with a peer that its link has changed."""
+        for exchange in self._open.values():
+            if exchange.peer == peer:
+                exchange.inbox.put_nowait(change)
 
     def on_message(self, channel: link.Channel, message: base.Message) -> None:
         """Puts an owner's message into the inbox of its exchange.
@@ -73,8 +96,8 @@
                 correlation id of the exchange.
         """
         self._last_message_at[channel] = self._clock.monotonic()
-        inbox = self._inboxes.get(message.id)
-        if inbox is None:
+        exchange = self._open.get(message.id)
+        if exchange is None:
             self._metrics.dropped("late")
             return
-        inbox.put_nowait(message)
+        exchange.inbox.put_nowait(message)
--- a/packages/node/src/sardinedoor_node/ingress/linkprober.py
+++ b/packages/node/src/sardinedoor_node/ingress/linkprober.py
@@ -71,5 +71,5 @@
         # is running this callback, so links are closed after it has returned.
         loop = asyncio.get_running_loop()
         if link_failed:
-            loop.call_soon(self._transport.disconnect, name)
+            loop.call_soon(self._transport.reconnect, name, name)
         loop.call_soon(self._transport.disconnect_control, name)
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -76,7 +76,7 @@
         if peer is None:
             return attempt.ForwardResult(codes.Code.LINK_DOWN, target.worker)
         channel = self._transport.connect(peer.name, peer.link)
-        exchange_id, inbox = self._exchanges.open()
+        exchange_id, inbox = self._exchanges.open(peer.name)
         offer = _build_offer(job, choice, exchange_id, self._clock)
         if wait_s is not None:
             offer.wait_ms = max(0, int(wait_s * 1000))
--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -4,6 +4,7 @@
 
 import abc
 from collections.abc import Callable
+import dataclasses
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -44,6 +45,23 @@
 Receiver = Callable[[Channel, "base.Message"], None]
 
 
+@dataclasses.dataclass(slots=True)
+class LinkChange:
+    """The connection to a peer was lost or restored.
+
+    Attributes:
+        channel: Channel to the peer.
+        is_open: Whether it accepts messages again. Messages that were on their
+            way when it was lost may not have arrived.
+    """
+
+    channel: Channel
+    is_open: bool
+
+
+LinkListener = Callable[[str, LinkChange], None]
+
+
 class Transport(abc.ABC):
     """Opens channels to peers and dispatches the messages of peers."""
 
@@ -60,6 +78,23 @@
     def on_message(self, cls: type[base.Message], receiver: Receiver) -> None:
         """Registers the receiver of one class of messages."""
 
+    def on_link_change(self, listener: LinkListener) -> None:  # noqa: B027
+        """Registers a listener for lost and restored connections.
+
+        Args:
+            listener: Called with the name that was given to `connect`.
+        """
+
+    def reconnect(self, name: str, address: str) -> None:
+        """Replaces the connection to a peer by a new one.
+
+        Args:
+            name: Name that was given to `connect`.
+            address: IP number and port of the peer's link listener.
+        """
+        self.disconnect(name)
+        self.connect(name, address)
+
     def connect_control(self, name: str, address: str) -> Channel:
         """Returns the channel to a peer for control messages.
 
--- a/packages/node/src/sardinedoor_node/link/asyncsocket.py
+++ b/packages/node/src/sardinedoor_node/link/asyncsocket.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import zmq
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class AsyncSocket:
     """A ZeroMQ socket with non-blocking sends and awaitable receives.
@@ -15,13 +19,21 @@
     socket are therefore read again after each send.
     """
 
-    def __init__(self, socket: zmq.Socket):
+    def __init__(
+        self,
+        socket: zmq.Socket,
+        on_writable: Callable[[bool], None] | None = None,
+    ):
         """Registers a socket with the running event loop.
 
         Args:
             socket: A bound or connected socket; `close` closes it.
+            on_writable: Called with whether messages can be sent, each time
+                that this has changed; at first they can't.
         """
         self._socket = socket
+        self._on_writable = on_writable
+        self._was_writable = False
         self._loop = asyncio.get_running_loop()
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
@@ -35,8 +47,13 @@
         events = self._socket.getsockopt(zmq.EVENTS)
         if events & zmq.POLLIN:
             self._readable.set()
-        if events & zmq.POLLOUT:
+        is_writable = bool(events & zmq.POLLOUT)
+        if is_writable:
             self._writable.set()
+        if self._on_writable and is_writable != self._was_writable:
+            # Not from within a send, whose caller may be changing its state.
+            self._loop.call_soon(self._on_writable, is_writable)
+        self._was_writable = is_writable
 
     def send(self, parts: list[bytes]) -> bool:
         """Sends a message of one or more parts.
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
+import hashlib
 import logging
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -18,6 +21,8 @@
 from sardinedoor_schema import frames
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sardinedoor_node import metrics
     from sardinedoor_schema import base
 
@@ -36,6 +41,10 @@
 # closed before its last reply.
 _IDLE_TIMEOUT_S = 660.0
 _WILDCARD_HOSTS = ("0.0.0.0", "[::]")
+_SALT_BYTES = 16
+_ROUTING_ID_BYTES = 15
+# ZeroMQ reserves ids that begin with a zero byte.
+_ROUTING_ID_PREFIX = b"n"
 
 
 def _configure(socket: zmq.Socket) -> None:
@@ -59,8 +68,12 @@
 class DealerChannel(link.Channel):
     """Sends over a DEALER socket that is connected to the peer's ROUTER."""
 
-    def __init__(self, dealer: asyncsocket.AsyncSocket):
-        self.socket = dealer
+    def __init__(
+        self, dealer: zmq.Socket, on_change: Callable[[link.LinkChange], None]
+    ):
+        self.socket = asyncsocket.AsyncSocket(
+            dealer, lambda is_open: on_change(link.LinkChange(self, is_open))
+        )
         self._last_sent_at = time.monotonic()
 
     @property
@@ -130,6 +143,30 @@
         self._tasks = tasks.TaskGroup()
         self._router: asyncsocket.AsyncSocket | None = None
         self._source_prefix = ""
+        self._salt = secrets.token_bytes(_SALT_BYTES)
+        self._link_listeners: list[link.LinkListener] = []
+
+    def on_link_change(self, listener: link.LinkListener) -> None:
+        """See base class."""
+        self._link_listeners.append(listener)
+
+    def _on_link_change(self, name: str, change: link.LinkChange) -> None:
+        peer = self._peers.get(name)
+        if peer is None or peer.channel is not change.channel:
+            return
+        for listener in self._link_listeners:
+            listener(name, change)
+
+    def _routing_id(self, name: str) -> bytes:
+        """Returns the id by which a peer knows a link of this process.
+
+        It stays the same when the link is opened again, so that the peer's
+        answers to earlier messages reach the new connection.
+        """
+        digest = hashlib.blake2b(
+            name.encode(), key=self._salt, digest_size=_ROUTING_ID_BYTES
+        )
+        return _ROUTING_ID_PREFIX + digest.digest()
 
     def on_message(
         self, cls: type[base.Message], receiver: link.Receiver
@@ -152,6 +189,7 @@
         router = self._context.socket(zmq.ROUTER)
         _configure(router)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         if self._keys is not None:
             self._authenticator = curve.KeyAuthenticator(
                 self._context, self._keys, self._metrics
@@ -189,11 +227,14 @@
         if heartbeat:
             _configure_heartbeat(dealer, self._heartbeat_ms)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.ROUTING_ID, self._routing_id(name))
         if self._keys is not None:
             key = self._keys.accepted[key_number]
             self._keys.secure_client(dealer, key)
         dealer.connect(f"tcp://{self._source_prefix}{address}")
-        channel = DealerChannel(asyncsocket.AsyncSocket(dealer))
+        channel = DealerChannel(
+            dealer, functools.partial(self._on_link_change, name)
+        )
         task = self._tasks.spawn(self._receive(channel), f"link-{name}")
         self._peers[name] = _Peer(address, channel, task, key_number)
         return channel
@@ -211,8 +252,10 @@
 
     def disconnect(self, name: str) -> None:
         """See base class."""
-        peer = self._peers.pop(name, None)
+        peer = self._peers.get(name)
         if peer is not None:
+            self._on_link_change(name, link.LinkChange(peer.channel, False))
+            del self._peers[name]
             peer.task.cancel()
             peer.channel.socket.close()
 
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -10,6 +10,7 @@
 import result
 
 from sardinedoor_node.owner import dialect
+from sardinedoor_node.owner import finished
 from sardinedoor_node.owner import holds
 from sardinedoor_node.owner import keyed
 from sardinedoor_node.owner import ledger
@@ -126,6 +127,7 @@
         """
         self._dialect = target_dialect or dialect.PlainDialect()
         self._exchanges: dict[bytes, Exchange] = {}
+        self._finished = finished.FinishedExchanges(time)
         self._incarnation = incarnation
         self._workers = local
         self._quarantine = crash_quarantine
@@ -208,6 +210,30 @@
         else:
             self._holds.cancel(cancel.id)
 
+    def on_resume(self, channel: link.Channel, resume: wire.Resume) -> None:
+        """Answers an ingress whose link was lost during an exchange.
+
+        What the link lost is sent again. A request whose offer or `Go` didn't
+        arrive is not run any more, and refused as not run.
+        """
+        exchange = self._exchanges.get(resume.id)
+        if exchange is not None:
+            exchange.channel = channel
+            if resume.ticket and not exchange.ticket:
+                # Unless the Go has just arrived, this ends the hold.
+                exchange.ticket = resume.ticket
+                self._holds.cancel(resume.id)
+            return
+        message = self._finished.get(resume.id)
+        if message is None:
+            code = codes.Code.LINK_LOST
+            was_seen = not self._offer_ids.add(resume.id)
+            if resume.owner == self._incarnation and not was_seen:
+                code = codes.Code.LINK_DOWN
+            message = wire.Refusal(resume.id, code, resume.ticket)
+        self._metrics.event("exchange_resumed")
+        channel.send(message)
+
     async def _handle(self, exchange: Exchange) -> None:
         try:
             message = await self._process(exchange)
@@ -217,6 +243,7 @@
             if exchange.run_started:
                 code = codes.Code.INTERNAL_ERROR_AFTER_RUN
             message = exchange.refuse(code)
+        self._finished.add(exchange.offer.id, message)
         exchange.channel.send(message)
 
     async def _process(self, exchange: Exchange) -> _ReplyOrRefusal:
@@ -271,7 +298,12 @@
         hold = self._holds.open(exchange.offer.id)
         used = False
         try:
-            held = wire.Held(exchange.offer.id, hold.ticket, holds.LAPSE_MS)
+            held = wire.Held(
+                exchange.offer.id,
+                hold.ticket,
+                holds.LAPSE_MS,
+                self._incarnation,
+            )
             if not exchange.channel.send(held):
                 return result.Err(codes.Code.LINK_DOWN)
             go = await hold.wait()
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -226,6 +226,7 @@
         self._transport.on_message(wire.Offer, owner.on_offer)
         self._transport.on_message(wire.Go, owner.on_go)
         self._transport.on_message(wire.Cancel, owner.on_cancel)
+        self._transport.on_message(wire.Resume, owner.on_resume)
         return owner
 
     def _make_handler(
@@ -237,6 +238,7 @@
         )
         for message in (wire.Held, wire.Reply, wire.Refusal):
             self._transport.on_message(message, exchange_table.on_message)
+        self._transport.on_link_change(exchange_table.on_link_change)
         picker = leastcost.LeastCostPicker(
             self._rng,
             self._clock,
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -32,6 +32,7 @@
     16: wire.CrashNotice,
     17: wire.ListAgeRequest,
     18: wire.ListAge,
+    19: wire.Resume,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
