Close connections on which a target sends bytes past its answer

Tests of thirteen kinds of endless bytes, fast and at one byte in 50 ms, against the client over real sockets, three requests at a time: the outcome is unknown (or the answer, where one was complete), before the deadline where the bytes are fast and by it always, memory stays below three times the largest answer for each request, and the event loop isn't held for 0.25 s.

One failed: after an answer with a length, the connection on which the bytes go on stayed open until its next use. It is looked at again 0.1 s after the answer and closed.

--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -30,6 +30,9 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
+# Bytes that follow a complete response arrive within this time, in s; the
+# connection is closed then rather than kept open until its next use.
+_STRAY_BYTES_CHECK_S = 0.1
 # Responses to earlier requests that may precede the awaited one.
 _MAX_STRAY_RESPONSES = 3
 # On a reused connection, these failures may be due to the connection.
@@ -99,7 +102,7 @@
         self.finished = True
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _IdleConnection:
     """An open connection without a request.
 
@@ -339,7 +342,11 @@
             reusable_until = now + self._dialect.idle_timeout_s(
                 collector.headers
             )
-            self._idle.append(_IdleConnection(stream, now, reusable_until))
+            connection = _IdleConnection(stream, now, reusable_until)
+            self._idle.append(connection)
+            asyncio.get_running_loop().call_later(
+                _STRAY_BYTES_CHECK_S, self._close_if_stale, connection
+            )
         return TargetReply(
             self._dialect.classify_response(
                 collector.status, collector.headers
@@ -349,6 +356,11 @@
             body=b"".join(collector.chunks),
         )
 
+    def _close_if_stale(self, connection: _IdleConnection) -> None:
+        if connection in self._idle and _is_stale(connection.stream):
+            self._idle.remove(connection)
+            connection.stream.close()
+
     async def is_listening(self) -> bool:
         """See base class."""
         for delay_s in (0.0, EXIT_RECHECK_S):
