Drop the routing ids of links, which resuming makes needless

The mutant without them survived: the owner answers on the channel on which the ingress asks again, and keeps answers that couldn't be sent.

--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -4,9 +4,7 @@
 
 import dataclasses
 import functools
-import hashlib
 import logging
-import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -41,10 +39,6 @@
 # closed before its last reply.
 _IDLE_TIMEOUT_S = 660.0
 _WILDCARD_HOSTS = ("0.0.0.0", "[::]")
-_SALT_BYTES = 16
-_ROUTING_ID_BYTES = 15
-# ZeroMQ reserves ids that begin with a zero byte.
-_ROUTING_ID_PREFIX = b"n"
 
 
 def _configure(socket: zmq.Socket) -> None:
@@ -143,7 +137,6 @@
         self._tasks = tasks.TaskGroup()
         self._router: asyncsocket.AsyncSocket | None = None
         self._source_prefix = ""
-        self._salt = secrets.token_bytes(_SALT_BYTES)
         self._link_listeners: list[link.LinkListener] = []
 
     def on_link_change(self, listener: link.LinkListener) -> None:
@@ -157,17 +150,6 @@
         for listener in self._link_listeners:
             listener(name, change)
 
-    def _routing_id(self, name: str) -> bytes:
-        """Returns the id by which a peer knows a link of this process.
-
-        It stays the same when the link is opened again, so that the peer's
-        answers to earlier messages reach the new connection.
-        """
-        digest = hashlib.blake2b(
-            name.encode(), key=self._salt, digest_size=_ROUTING_ID_BYTES
-        )
-        return _ROUTING_ID_PREFIX + digest.digest()
-
     def on_message(
         self, cls: type[base.Message], receiver: link.Receiver
     ) -> None:
@@ -189,7 +171,6 @@
         router = self._context.socket(zmq.ROUTER)
         _configure(router)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         if self._keys is not None:
             self._authenticator = curve.KeyAuthenticator(
                 self._context, self._keys, self._metrics
@@ -227,7 +208,6 @@
         if heartbeat:
             _configure_heartbeat(dealer, self._heartbeat_ms)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
-        dealer.setsockopt(zmq.ROUTING_ID, self._routing_id(name))
         if self._keys is not None:
             key = self._keys.accepted[key_number]
             self._keys.secure_client(dealer, key)
