Send large bodies over a link of their own

Cause: an upload of 360 KB takes half a second on the slowest link of the users' deployments (5.5 Mbit/s), and all messages to that peer queued behind it.

Bodies above 16 KiB go over a second link to the owner, and only once it holds a slot, so that they travel once.

--- a/packages/node/src/sardinedoor_node/ingress/linkprober.py
+++ b/packages/node/src/sardinedoor_node/ingress/linkprober.py
@@ -6,8 +6,9 @@
 import logging
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import link
+
 if TYPE_CHECKING:
-    from sardinedoor_node import link
     from sardinedoor_node.picking import path
     from sardinedoor_node.published import antientropy
     from sardinedoor_node.util import clock
@@ -72,4 +73,6 @@
         loop = asyncio.get_running_loop()
         if link_failed:
             loop.call_soon(self._transport.reconnect, name, name)
+            bulk_name = name + link.BULK_SUFFIX
+            loop.call_soon(self._transport.reconnect, bulk_name, name)
         loop.call_soon(self._transport.disconnect_control, name)
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from sardinedoor_node import link
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import feedback
 from sardinedoor_node.util import digests
@@ -15,12 +16,15 @@
     from collections.abc import Callable
 
     from sardinedoor_node import directory
-    from sardinedoor_node import link
     from sardinedoor_node import picking
     from sardinedoor_node.ingress import exchanges
     from sardinedoor_node.ingress import holding
     from sardinedoor_node.util import clock
 
+# A frame with a larger body would delay the small messages behind it on links
+# of a few Mbit/s, so it takes a link of its own.
+_MAX_SMALL_BODY_BYTES = 16 * 1024
+
 
 class OfferSender:
     """Offers jobs to owners and reports the results to the picker."""
@@ -75,12 +79,21 @@
         peer = self._fleet.peer(target.node)
         if peer is None:
             return attempt.ForwardResult(codes.Code.LINK_DOWN, target.worker)
-        channel = self._transport.connect(peer.name, peer.link)
-        exchange_id, inbox = self._exchanges.open(peer.name)
+        is_bulk = len(job.request.body) > _MAX_SMALL_BODY_BYTES
+        if is_bulk:
+            link_name = peer.name + link.BULK_SUFFIX
+            channel = self._transport.connect_bulk(peer.name, peer.link)
+        else:
+            link_name = peer.name
+            channel = self._transport.connect(peer.name, peer.link)
+        exchange_id, inbox = self._exchanges.open(link_name)
         offer = _build_offer(job, choice, exchange_id, self._clock)
         if wait_s is not None:
             offer.wait_ms = max(0, int(wait_s * 1000))
-        hold_first = claim is not None or self._needs_hold(job, channel)
+        # A large body is sent once, to an owner that has a slot for it.
+        hold_first = (
+            is_bulk or claim is not None or self._needs_hold(job, channel)
+        )
         if not hold_first:
             offer.request = job.request
             offer.owner = peer.incarnation
--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -12,6 +12,7 @@
 
 
 CONTROL_SUFFIX = "/control"
+BULK_SUFFIX = "/bulk"
 
 
 class Channel(abc.ABC):
@@ -78,6 +79,19 @@
     def on_message(self, cls: type[base.Message], receiver: Receiver) -> None:
         """Registers the receiver of one class of messages."""
 
+    def connect_bulk(self, name: str, address: str) -> Channel:
+        """Returns the channel to a peer for messages with large bodies.
+
+        It may be separate from the channel of `connect`, so that small
+        messages don't queue behind large ones. Its changes are reported under
+        the name with `BULK_SUFFIX`.
+
+        Args:
+            name: Name of the peer.
+            address: IP number and port of the peer's link listener.
+        """
+        return self.connect(name, address)
+
     def on_link_change(self, listener: LinkListener) -> None:  # noqa: B027
         """Registers a listener for lost and restored connections.
 
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -190,6 +190,18 @@
             return self._local
         return self._open(name, address, heartbeat=True)
 
+    def connect_bulk(self, name: str, address: str) -> link.Channel:
+        """See base class."""
+        if name == self._own_name:
+            return self._local
+        return self._open(name + link.BULK_SUFFIX, address, heartbeat=True)
+
+    def reconnect(self, name: str, address: str) -> None:
+        """See base class; nothing happens if there is no connection."""
+        if name in self._peers:
+            self.disconnect(name)
+            self._open(name, address, heartbeat=True)
+
     def connect_control(self, name: str, address: str) -> link.Channel:
         """See base class."""
         return self._open(name + link.CONTROL_SUFFIX, address, heartbeat=False)
