Let requests join longer queues unless waits end in vain

The share is 1 at first; a wait that ends without a slot lowers it by 0.1, one that ends with a slot raises it by 0.005. Offers that are withdrawn count for neither.

--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -23,9 +23,13 @@
 _BURST_SERVICE_TIMES = 4.0
 _MAX_QUEUED_PER_SLOT = 8
 _SERVICE_TIME_WEIGHT = 0.1
-# A request whose expected wait is above this share of its longest wait is
-# refused at once, since waits vary and it would often be refused at its end.
-_MAX_EXPECTED_WAIT_SHARE = 0.6
+# A request whose expected wait is above a share of its longest wait is refused
+# at once. Each wait that ends without a slot lowers the share, each one that
+# ends with a slot raises it, so that waits in vain stay rare under overload.
+_MIN_WAIT_SHARE = 0.4
+_MAX_WAIT_SHARE = 1.0
+_WAIT_SHARE_DECREASE = 0.1
+_WAIT_SHARE_INCREASE = 0.005
 # Smaller differences in usage are noise and no excess of the fair share.
 _OVER_SHARE_FACTOR = 2.0
 
@@ -95,6 +99,7 @@
         self._last_sequence = 0
         self._service_time_s = 0.0
         self._last_empty_at = 0.0
+        self._wait_share = _MAX_WAIT_SHARE
 
     @property
     def slots(self) -> int:
@@ -183,6 +188,20 @@
     def time_out(self, waiter: Waiter, now: float) -> None:
         """Refuses a queued request that has waited too long.
 
+        Args:
+            waiter: The waiter; nothing happens if it is already decided.
+            now: Monotonic time, in s.
+        """
+        if waiter.decision is not Decision.WAITING:
+            return
+        self.withdraw(waiter, now)
+        self._wait_share = max(
+            _MIN_WAIT_SHARE, self._wait_share - _WAIT_SHARE_DECREASE
+        )
+
+    def withdraw(self, waiter: Waiter, now: float) -> None:
+        """Refuses a queued request that its ingress no longer waits for.
+
         Args:
             waiter: The waiter; nothing happens if it is already decided.
             now: Monotonic time, in s.
@@ -219,7 +238,7 @@
         left_s = waiter.deadline - now - self._service_time_s
         limit_s = self.wait_left_s(waiter, now)
         if waiter.max_wait_s is not None:
-            limit_s *= _MAX_EXPECTED_WAIT_SHARE
+            limit_s *= self._wait_share
         return wait_s <= min(limit_s, left_s)
 
     def _displace(self, waiter: Waiter, now: float) -> bool:
@@ -272,6 +291,9 @@
                 self._refuse(waiter, self._expiry_code(waiter, now))
             else:
                 self._grant(waiter, now)
+                self._wait_share = min(
+                    _MAX_WAIT_SHARE, self._wait_share + _WAIT_SHARE_INCREASE
+                )
         self._record_empty_queue(now)
 
     def _is_expired(self, waiter: Waiter, now: float) -> bool:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -186,7 +186,7 @@
         except TimeoutError:
             self._admission.time_out(waiter, time.monotonic())
         except asyncio.CancelledError:
-            self._admission.time_out(waiter, time.monotonic())
+            self._admission.withdraw(waiter, time.monotonic())
             if waiter.decision is admission.Decision.GRANTED:
                 self.release_slot(waiter, time)
             raise
