--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -126,6 +126,10 @@
         """
         if progress.stopped or progress.offer_count >= MAX_OFFERS:
             return Step()
+        if 0 < job.objective_s < now - progress.started_at:
+            # No owner has accepted it in this time, so it is refused while
+            # its caller can still try elsewhere.
+            return Step()
         if (
             len(progress.busy) < MAX_BUSY_OWNERS
             and progress.ejected_count < MAX_EJECTED_TARGETS
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -216,6 +216,13 @@
         self.assertEqual(_C.QUEUE_FULL, result.code)
         self.assertEqual(list("abcdab"), sender.offered)
 
+    def test_request_is_refused_once_its_objective_has_passed(self):
+        script = dict.fromkeys("abcdefgh", (0.09, _C.HOLD_TIMEOUT))
+        result, sender = _forward(script, False)
+        self.assertEqual(_C.HOLD_TIMEOUT, result.code)
+        # Each offer takes nearly half of the objective.
+        self.assertEqual(3, len(sender.offered))
+
     def test_probably_failing_target_is_tried_last(self):
         result, sender = _forward(
             {"A": (0, 200), "b": (0, _C.QUEUE_FULL)}, False
