--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -150,7 +150,7 @@
                 return pause
         choice = self._picker.pick_last_resort(
             candidates,
-            progress.may_have_run | progress.last_resorts,
+            progress.may_have_run | progress.last_resorts | set(progress.busy),
             job.idempotent,
         )
         if choice is None:
--- a/packages/node/src/sardinedoor_node/owner/breaker.py
+++ b/packages/node/src/sardinedoor_node/owner/breaker.py
@@ -25,7 +25,7 @@
 OPEN_PROBABILITY = 0.5
 # A request that isn't idempotent can't be repeated if it fails, so it is
 # admitted only on recent evidence that the worker is healthy.
-MAX_UNREPEATABLE_PROBABILITY = 0.35
+MAX_UNREPEATABLE_PROBABILITY = 0.2
 # A worker that refuses more of the requests sent to it gets no more of them than
 # trials, and requests that no other worker takes.
 MAX_REFUSAL_SHARE = 0.3
--- a/packages/node/src/sardinedoor_node/picking/leastcost.py
+++ b/packages/node/src/sardinedoor_node/picking/leastcost.py
@@ -25,7 +25,7 @@
 _FAILING_THRESHOLD = 0.5
 # For requests that aren't idempotent, owners refuse at this probability, which
 # a recent report tells in advance.
-_UNREPEATABLE_THRESHOLD = 0.35
+_UNREPEATABLE_THRESHOLD = 0.2
 # Above this failing probability a request that isn't idempotent is refused, as
 # not run, rather than tried as a last resort.
 _MAX_LAST_RESORT_PROBABILITY = 0.9
@@ -134,7 +134,6 @@
             for t in candidates
             if t.worker not in tried
             and not self._paths.is_suspected(t.node, now)
-            and self._is_failing(t, idempotent, now)
             and self._failing_probability(t, now) < limit
         ]
         if not doubtful:
--- a/tests/test_picking/test_picking_leastcost.py
+++ b/tests/test_picking/test_picking_leastcost.py
@@ -100,6 +100,16 @@
         choice = ingress.picker.pick_last_resort(pool, (), True)
         self.assertIs(worker.Rotation.FLOOR, choice.rotation)
 
+    def test_target_whose_owner_refused_it_for_health_is_a_last_resort(self):
+        ingress = _Ingress("a", 1)
+        pool = _targets(2, "a")
+        ingress.report(pool[0], 0.3)
+        ingress.report(pool[1], 0.95)
+        for idempotent in (False, True):
+            choice = ingress.picker.pick_last_resort(pool, (), idempotent)
+            self.assertEqual("i-0", choice.target.worker)
+            self.assertIs(worker.Rotation.FLOOR, choice.rotation)
+
     def test_shortest_queues_are_picked(self):
         ingress = _Ingress("a", 1)
         pool = _targets(4, "a")
