Split the target client, the load simulation and the platform's path tests

Connections to a target that are idle have a module of their own, so have the simulated targets, and the fleet that the platform's path tests run. Behaviour and assertions are unchanged.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -214,7 +214,7 @@
     ),
     Mechanism(
         "a connection carries each id once",
-        "owner/target.py",
+        "owner/connections.py",
         "or request_id in connection.request_ids",
         "or False",
         _TARGET_TESTS,
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -13,6 +13,7 @@
 from tornado import iostream
 
 from sardinedoor_node import owner
+from sardinedoor_node.owner import connections
 from sardinedoor_node.owner import dialect
 from sardinedoor_schema import codes
 
@@ -20,7 +21,6 @@
     from sardinedoor_schema.generated import wire
 
 CONNECT_TIMEOUT_S = 0.5
-DEFAULT_MAX_IDLE = 3
 SILENCE_TIMEOUT_S = 1.0
 # A worker that exits may still accept a connection for this long.
 EXIT_RECHECK_S = 0.05
@@ -30,9 +30,6 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
-# Bytes that follow a complete response arrive within this time, in s; the
-# connection is closed then rather than kept open until its next use.
-_STRAY_BYTES_CHECK_S = 0.1
 # Responses to earlier requests that may precede the awaited one.
 _MAX_STRAY_RESPONSES = 3
 # On a reused connection, these failures may be due to the connection.
@@ -102,37 +99,6 @@
         self.finished = True
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Connection:
-    """An open connection to the target.
-
-    Attributes:
-        stream: Its byte stream.
-        request_ids: Ids of the requests that it carried. A second copy of one
-            of their responses may still arrive.
-        idle_since: Loop time of the end of the last response, in s.
-        reusable_until: Loop time from which on it isn't reused, in s.
-    """
-
-    stream: iostream.IOStream
-    request_ids: set[str] = dataclasses.field(default_factory=set)
-    idle_since: float = 0.0
-    reusable_until: float = 0.0
-
-
-def _is_stale(stream: iostream.IOStream) -> bool:
-    """Returns whether an idle connection is closed or has unread bytes."""
-    if stream.closed():
-        return True
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return stream._read_buffer_size > 0
-    except OSError:
-        return True
-    return True
-
-
 def _has_explicit_end(collector: _ResponseCollector) -> bool:
     """Returns whether a response ends other than by closing the connection."""
     if collector.status in (204, 304):
@@ -179,17 +145,25 @@
         self._host = host.strip("[]")
         self._port = int(port)
         self._address = address
-        self._idle: list[_Connection] = []
-        self.max_idle = DEFAULT_MAX_IDLE
+        self._pool = connections.ConnectionPool()
         self._slow_until = 0.0
 
+    @property
+    def max_idle(self) -> int:
+        """Largest number of idle connections kept open."""
+        return self._pool.max_idle
+
+    @max_idle.setter
+    def max_idle(self, limit: int) -> None:
+        self._pool.max_idle = limit
+
     async def run(
         self, request: wire.Request, idempotent: bool, remaining_s: float
     ) -> TargetReply:
         """See base class."""
         now = asyncio.get_running_loop().time()
         deadline = now + remaining_s
-        connection = self._pop_idle(
+        connection = self._pool.pop(
             math.inf if idempotent else self._max_reuse_idle_s,
             self._dialect.request_id(request),
         )
@@ -227,7 +201,9 @@
         if loop.time() >= deadline:
             stream.close()
             return TargetReply(codes.Code.DEADLINE_EXPIRED)
-        reply = await self._run_on(_Connection(stream), request, deadline)
+        reply = await self._run_on(
+            connections.Connection(stream), request, deadline
+        )
         if loop.time() - started_at > SILENCE_TIMEOUT_S:
             # New connections are as slow, so the target is the cause and
             # a retry on another connection would not help.
@@ -235,7 +211,10 @@
         return reply
 
     async def _run_on(
-        self, connection: _Connection, request: wire.Request, deadline: float
+        self,
+        connection: connections.Connection,
+        request: wire.Request,
+        deadline: float,
     ) -> TargetReply:
         try:
             async with asyncio.timeout_at(deadline):
@@ -247,24 +226,6 @@
             connection.stream.close()
             raise
 
-    def _pop_idle(
-        self, max_idle_s: float, request_id: str
-    ) -> _Connection | None:
-        now = asyncio.get_running_loop().time()
-        while self._idle:
-            connection = self._idle[-1]
-            if (
-                now >= connection.reusable_until
-                or request_id in connection.request_ids
-                or _is_stale(connection.stream)
-            ):
-                self._idle.pop().stream.close()
-            elif now - connection.idle_since >= max_idle_s:
-                return None
-            else:
-                return self._idle.pop()
-        return None
-
     async def _connect(self, timeout_s: float) -> iostream.IOStream | None:
         # Tornado's TCPClient would resolve the IP address in a thread.
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
@@ -279,7 +240,7 @@
         return stream
 
     async def _send_and_receive(
-        self, connection: _Connection, request: wire.Request
+        self, connection: connections.Connection, request: wire.Request
     ) -> TargetReply:
         stream = connection.stream
         http_connection = http1connection.HTTP1Connection(
@@ -321,7 +282,7 @@
 
     def _is_response_to(
         self,
-        connection: _Connection,
+        connection: connections.Connection,
         request: wire.Request,
         headers: httputil.HTTPHeaders,
     ) -> bool:
@@ -358,7 +319,7 @@
         return headers
 
     def _to_reply(
-        self, connection: _Connection, collector: _ResponseCollector
+        self, connection: connections.Connection, collector: _ResponseCollector
     ) -> TargetReply:
         stream = connection.stream
         if not collector.finished:
@@ -367,23 +328,11 @@
                 return TargetReply(codes.Code.REPLY_TRUNCATED)
             return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
         connection_option = collector.headers.get("Connection", "")
-        is_full = len(self._idle) >= self.max_idle
-        if (
-            is_full
-            or collector.must_close
-            or connection_option.lower() == "close"
-        ):
+        if collector.must_close or connection_option.lower() == "close":
             stream.close()
         elif not stream.closed():
-            loop = asyncio.get_running_loop()
-            connection.idle_since = loop.time()
-            connection.reusable_until = (
-                loop.time() + self._dialect.idle_timeout_s(collector.headers)
-            )
-            self._idle.append(connection)
-            loop.call_later(
-                _STRAY_BYTES_CHECK_S, self._close_if_stale, connection
-            )
+            idle_timeout_s = self._dialect.idle_timeout_s(collector.headers)
+            self._pool.add(connection, idle_timeout_s)
         return TargetReply(
             self._dialect.classify_response(
                 collector.status, collector.headers
@@ -393,11 +342,6 @@
             body=b"".join(collector.chunks),
         )
 
-    def _close_if_stale(self, connection: _Connection) -> None:
-        if connection in self._idle and _is_stale(connection.stream):
-            self._idle.remove(connection)
-            connection.stream.close()
-
     async def is_listening(self) -> bool:
         """See base class."""
         for delay_s in (0.0, EXIT_RECHECK_S):
@@ -411,6 +355,4 @@
 
     def close(self) -> None:
         """See base class."""
-        for connection in self._idle:
-            connection.stream.close()
-        self._idle.clear()
+        self._pool.close()
--- a/tests/test_ingress/test_ingress_load.py
+++ b/tests/test_ingress/test_ingress_load.py
@@ -7,6 +7,7 @@
 import testtools
 
 from sardinedoor_standins import loadsim
+from sardinedoor_standins import spelltarget
 
 _WORK_S = 0.34
 # Of the requests that the healthy targets have slots for, this share has to be
@@ -23,7 +24,7 @@
 
 
 def _play(
-    plan: loadsim.Plan, load: float, seed: int, seconds: float = 8.0
+    plan: spelltarget.Plan, load: float, seed: int, seconds: float = 8.0
 ) -> tuple[list[loadsim.Tally], loadsim.LoadFleet]:
     logging.disable(logging.CRITICAL)
     try:
@@ -43,14 +44,16 @@
 
 class LoadTest(testtools.TestCase):
     def test_usual_load_is_served_while_a_third_of_the_targets_fail(self):
-        tallies, _ = _play(loadsim.Plan(nodes=60), _USUAL_LOAD, seed=1)
+        tallies, _ = _play(spelltarget.Plan(nodes=60), _USUAL_LOAD, seed=1)
         for tally in tallies:
             self.assertGreaterEqual(tally.served_share, _MIN_SERVED_SHARE)
             self.assertLess(tally.refused, 0.02 * tally.asked)
 
     def test_heavy_load_is_served_as_far_as_healthy_targets_have_slots(self):
         for seed in (2, 3):
-            tallies, fleet = _play(loadsim.Plan(nodes=40), _HEAVY_LOAD, seed)
+            tallies, fleet = _play(
+                spelltarget.Plan(nodes=40), _HEAVY_LOAD, seed
+            )
             counts = loadsim.outcome_counts(tallies)
             possible = min(1.0, fleet.healthy_share / _HEAVY_LOAD)
             served_share = counts["in_time"] / counts["asked"]
@@ -65,12 +68,12 @@
     def test_sound_targets_get_requests_while_others_are_refused(self):
         for load in (_HEAVY_LOAD, 0.9):
             for failing_share in (0.3, 0.5):
-                plan = loadsim.Plan(nodes=24, failing_share=failing_share)
+                plan = spelltarget.Plan(nodes=24, failing_share=failing_share)
                 _, fleet = _play(plan, load, seed=5)
                 self.assertGreaterEqual(min(fleet.used_shares), _FLOOR_SHARE)
 
     def test_requests_that_cannot_be_served_are_refused_early(self):
-        plan = loadsim.Plan(nodes=30, failing_share=0.0)
+        plan = spelltarget.Plan(nodes=30, failing_share=0.0)
         tallies, fleet = _play(plan, 1.6, seed=3, seconds=6.0)
         # All slots are in use while requests are refused.
         self.assertGreaterEqual(fleet.busy_share, 0.95)
