Test the race of waiting offers by itself

Two mutants survived: each of the two ways in which a second offer is kept from sending the request hid the absence of the other. A test calls the claim from a task that misses its cancellation; another looks at the cancellation before the answer. Both mutants fail now.

--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -21,7 +21,7 @@
     from sardinedoor_node.util import clock
 
 
-class _Race:
+class Race:
     """Offers of one request of which only one may be redeemed.
 
     Each waits in the queue of another owner. The first that gets a slot sends
@@ -148,7 +148,7 @@
 
     def _start_offers(self, request: _Request, step: strategy.Step) -> None:
         progress = request.progress
-        race = _Race() if step.wait_s else None
+        race = Race() if step.wait_s else None
         for choice in step.choices:
             request.job.repeats = progress.hedge_pending or bool(
                 progress.may_have_run
@@ -168,7 +168,7 @@
         request: _Request,
         choice: picking.Choice,
         wait_s: float,
-        race: _Race | None,
+        race: Race | None,
     ) -> attempt.ForwardResult:
         failing_probability = self._picker.failing_probability(choice.target)
         started_at = self._clock.monotonic()
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import testtools
 
@@ -80,6 +81,7 @@
         self.offered: list[str] = []
         self.waits_s: list[float] = []
         self.cancelled: list[str] = []
+        self.cancelled_before_answer: list[str] = []
 
     async def send(
         self, job, choice, wait_s=None, claim=None
@@ -102,6 +104,10 @@
         code = answer
         if claim is not None and not _is_refusal(answer) and not claim():
             return attempt.ForwardResult(_C.TICKET_LAPSED, name)
+        if claim is not None:
+            # The run takes as long as the wait did.
+            await asyncio.sleep(delay_s)
+            self.cancelled_before_answer = list(self.cancelled)
         if not isinstance(answer, codes.Code):
             code = _C.ANSWERED
             reply = wire.Reply(b"", answer, 0, b"")
@@ -208,7 +214,24 @@
         longest_s = strategy.SLOT_WAIT_SHARE * 0.2
         for wait_s in sender.waits_s[4:]:
             self.assertTrue(0 < wait_s <= longest_s, wait_s)
-        self.assertEqual(["a"], sender.cancelled)
+        self.assertEqual(["a"], sender.cancelled_before_answer)
+
+    def test_only_one_waiting_offer_gets_the_request(self):
+        async def run() -> list[bool]:
+            race = failover.Race()
+            claims: list[bool] = []
+
+            async def offer() -> None:
+                # Claims even if its cancellation comes at the same time.
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(0)
+                claims.append(race.claim())
+
+            race.tasks |= {asyncio.create_task(offer()) for _ in range(2)}
+            await asyncio.gather(*race.tasks, return_exceptions=True)
+            return claims
+
+        self.assertEqual([True, False], asyncio.run(run()))
 
     def test_request_is_refused_at_once_if_all_queues_are_too_long(self):
         script = dict.fromkeys("abcde", (0, _C.QUEUE_FULL))
