--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/.installed
 PACKAGES = packages/schema packages/node packages/standins packages/cli platform
 
-.PHONY: setup demo test check format generate docs fuzz scenarios clean
+.PHONY: setup demo test check format generate docs fuzz scenarios regression clean
 
 setup: $(STAMP)
 
@@ -44,5 +44,9 @@
 fuzz: setup
 	FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) $(BIN)/python -m pytest -k fuzz
 
+# BENCH is the path of the users' bench, SITES the folder of its site files.
+regression: setup
+	$(BIN)/python tools/regression.py $(BENCH) $(SITES)
+
 clean:
 	rm -rf $(VENV) docs/_build build out
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -245,7 +245,7 @@
         lost_at: float | None = None
         while True:
             message = await self._receive(self._reply_wait_s(lost_at))
-            if message is None and self._remaining_s() > 0:
+            if message is None and lost_at is not None and self._job.idempotent:
                 return self._failure(codes.Code.LINK_LOST)
             if message is None:
                 return self._failure(codes.Code.REPLY_TIMEOUT)
--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from sardinedoor_node.ingress import progress as progress_module
+from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import strategy
 
 if TYPE_CHECKING:
@@ -54,7 +54,7 @@
     """
 
     job: attempt.Job
-    progress: progress_module.Progress
+    progress: requestprogress.Progress
     budget: retrywindow.WindowedBudget
     in_flight: dict[asyncio.Task, picking.Choice] = dataclasses.field(
         default_factory=dict
@@ -99,7 +99,7 @@
         self._clock = time
 
     async def forward(
-        self, job: attempt.Job, progress: progress_module.Progress
+        self, job: attempt.Job, progress: requestprogress.Progress
     ) -> None:
         """Offers a request until it is answered or no offer may be made.
 
@@ -176,7 +176,7 @@
             request.job, choice, wait_s, race.claim if race else None
         )
         request.progress.offer_records.append(
-            progress_module.OfferRecord(
+            requestprogress.OfferRecord(
                 choice.target.worker,
                 int(result.code),
                 result.reply.status if result.reply else 0,
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -11,7 +11,7 @@
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import hosts
-from sardinedoor_node.ingress import progress as progress_module
+from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import requests
 from sardinedoor_node.ingress import responses
 from sardinedoor_node.ingress import server
@@ -109,7 +109,7 @@
         """See base class."""
         started_at = self._clock.monotonic()
         request_id = self._dialect.request_id(request.headers)
-        progress = progress_module.Progress(started_at)
+        progress = requestprogress.Progress(started_at)
         if request.refusal is None:
             # The configuration may have changed while the body was read.
             request.refusal = self.check(request)
@@ -127,7 +127,7 @@
         self,
         request: requests.Request,
         request_id: str,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
     ) -> attempt.ForwardResult:
         route = request.route
         job = self._build_job(request, route, progress.started_at)
@@ -162,7 +162,7 @@
         return progress.result()
 
     def _result_at_deadline(
-        self, job: attempt.Job, progress: progress_module.Progress
+        self, job: attempt.Job, progress: requestprogress.Progress
     ) -> attempt.ForwardResult:
         if job.may_have_started or job.idempotent:
             return progress.failure or attempt.ForwardResult(
@@ -233,7 +233,7 @@
         request: requests.Request,
         request_id: str,
         result: attempt.ForwardResult,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         duration_s: float,
     ) -> None:
         route = request.route
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -27,7 +27,7 @@
     from sardinedoor_node import metrics
     from sardinedoor_node import picking
     from sardinedoor_node.ingress import attempt
-    from sardinedoor_node.ingress import progress as progress_module
+    from sardinedoor_node.ingress import requestprogress
     from sardinedoor_node.limits import retrywindow
     from sardinedoor_node.membership import targets
 
@@ -112,7 +112,7 @@
     def next_step(
         self,
         job: attempt.Job,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         candidates: Sequence[targets.Target],
         now: float,
     ) -> Step:
@@ -126,7 +126,8 @@
         """
         if progress.stopped or progress.offer_count >= MAX_OFFERS:
             return Step()
-        if 0 < job.objective_s < now - progress.started_at:
+        is_late = 0 < job.objective_s < now - progress.started_at
+        if is_late and not progress.may_have_run:
             # No owner has accepted it in this time, so it is refused while
             # its caller can still try elsewhere.
             return Step()
@@ -160,7 +161,7 @@
 
     def hedge_step(
         self,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         candidates: Sequence[targets.Target],
     ) -> Step:
         """Decides where to offer a request that has an offer in flight."""
@@ -172,7 +173,7 @@
     def hedge_delay_s(
         self,
         job: attempt.Job,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         in_flight: int,
     ) -> float | None:
         """Returns the time until a hedge is due, in s; None for no hedge."""
@@ -185,7 +186,7 @@
     def _join_queues(
         self,
         job: attempt.Job,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         now: float,
     ) -> Step:
         latest = progress.started_at + SLOT_WAIT_SHARE * job.objective_s
@@ -205,7 +206,7 @@
     def _pause_for_link(
         self,
         job: attempt.Job,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         now: float,
     ) -> Step:
         latest = progress.started_at + LINK_WAIT_SHARE * job.objective_s
@@ -218,7 +219,7 @@
     def record(
         self,
         job: attempt.Job,
-        progress: progress_module.Progress,
+        progress: requestprogress.Progress,
         choice: picking.Choice,
         result: attempt.ForwardResult,
         budget: retrywindow.WindowedBudget,
--- a/packages/standins/src/sardinedoor_standins/loadsim.py
+++ b/packages/standins/src/sardinedoor_standins/loadsim.py
@@ -23,7 +23,7 @@
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import holding
 from sardinedoor_node.ingress import offers
-from sardinedoor_node.ingress import progress as progress_module
+from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.limits import retrywindow
 from sardinedoor_node.membership import targets
 from sardinedoor_node.owner import breaker
@@ -368,7 +368,7 @@
         tally.asked += 1
         node = self.rng.choice(self._nodes)
         started_at = self.clock.monotonic()
-        progress = progress_module.Progress(started_at)
+        progress = requestprogress.Progress(started_at)
         job = attempt.Job(
             request=wire.Request("POST", "/", [], str(load.work_s).encode()),
             service=_SERVICE,
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -12,7 +12,7 @@
 from sardinedoor_node import picking
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import failover
-from sardinedoor_node.ingress import progress as progress_module
+from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import strategy
 from sardinedoor_node.limits import retrywindow
 from sardinedoor_node.membership import targets
@@ -156,7 +156,7 @@
             max_runs=max_runs,
             nested=nested,
         )
-        progress = progress_module.Progress(time.monotonic())
+        progress = requestprogress.Progress(time.monotonic())
         async with asyncio.timeout(2):
             await forwarder.forward(job, progress)
         return progress.result()
@@ -246,6 +246,10 @@
         # Each offer takes nearly half of the objective.
         self.assertEqual(3, len(sender.offered))
 
+    def test_failed_request_is_repeated_though_its_objective_has_passed(self):
+        result, _ = _forward({"a": (0.25, 500), "b": (0, 200)}, True)
+        self.assertEqual(200, result.reply.status)
+
     def test_probably_failing_target_is_tried_last(self):
         result, sender = _forward(
             {"A": (0, 200), "b": (0, _C.QUEUE_FULL)}, False
