Cancel an idempotent run that waited for its slot when its caller leaves

Cause: a request that waits in owners' queues is sent with a Go, also an idempotent one, and nothing was cancelled after a Go. A caller that left didn't end such a run. The handler now looks at whether the request is idempotent, and the ingress sends a cancel after a Go as well; the owner heeds it only for idempotent runs.

--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -139,11 +139,7 @@
             return await self._run_with_hold()
         if not await self._send_offer():
             return self._failure(codes.Code.LINK_DOWN)
-        try:
-            return await self._wait_for_reply()
-        except asyncio.CancelledError:
-            self._channel.send(wire.Cancel(self._offer.id))
-            raise
+        return await self._wait_for_reply()
 
     async def _send_offer(self) -> bool:
         """Sends the offer; waits briefly for a link that isn't open yet."""
@@ -242,6 +238,15 @@
         )
 
     async def _wait_for_reply(self) -> ForwardResult:
+        """Waits for the reply; cancels the run if the wait is cancelled."""
+        try:
+            return await self._receive_reply()
+        except asyncio.CancelledError:
+            # The owner ignores it if the request must run to its end.
+            self._channel.send(wire.Cancel(self._offer.id))
+            raise
+
+    async def _receive_reply(self) -> ForwardResult:
         lost_at: float | None = None
         while True:
             message = await self._receive(self._reply_wait_s(lost_at))
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -138,7 +138,7 @@
         def on_caller_left() -> None:
             # A request that isn't idempotent can't be cancelled once a worker
             # may have started it.
-            if not job.may_have_started:
+            if job.idempotent or not job.may_have_started:
                 task.cancel()
 
         request.connection.set_close_callback(on_caller_left)
--- a/tests/test_ingress/test_ingress_resume.py
+++ b/tests/test_ingress/test_ingress_resume.py
@@ -33,6 +33,7 @@
 
 _C = codes.Code
 _RUN_S = 0.4
+_LONG_RUN_S = 4.0
 _DEADLINE_S = 4.0
 
 
@@ -88,10 +89,16 @@
 
     def __init__(self) -> None:
         self.runs: list[bytes] = []
+        self.cancelled: list[bytes] = []
+        self.run_s = _RUN_S
 
     async def run(self, request, idempotent, remaining_s):
         self.runs.append(request.body)
-        await asyncio.sleep(_RUN_S)
+        try:
+            await asyncio.sleep(self.run_s)
+        except asyncio.CancelledError:
+            self.cancelled.append(request.body)
+            raise
         return target.TargetReply(_C.ANSWERED, status=200, body=request.body)
 
     async def is_listening(self) -> bool:
@@ -193,7 +200,9 @@
         await self.owner.transport.close(0)
         self.server.close()
 
-    def send(self, body: bytes, idempotent: bool) -> asyncio.Task:
+    def send(
+        self, body: bytes, idempotent: bool, waits: bool = False
+    ) -> asyncio.Task:
         job = attempt.Job(
             wire.Request("POST", "/", [], body),
             "pay",
@@ -201,7 +210,10 @@
             self.clock.monotonic() + _DEADLINE_S,
         )
         choice = picking.Choice(targets.Target("w", "pay", "owner", False))
-        return asyncio.create_task(self.sender.send(job, choice))
+        claim = (lambda: True) if waits else None
+        return asyncio.create_task(
+            self.sender.send(job, choice, 0.1 if waits else None, claim)
+        )
 
     async def wait_for_run(self, body: bytes) -> None:
         async with asyncio.timeout(2):
@@ -300,6 +312,27 @@
 
         _play(scenario)
 
+    def test_only_idempotent_run_ends_when_its_caller_leaves(self):
+        for idempotent in (False, True):
+            for waits in (False, True):
+
+                async def scenario(
+                    pair: _Pair, idempotent=idempotent, waits=waits
+                ) -> None:
+                    pair.client.run_s = _LONG_RUN_S
+                    sent = pair.send(b"look", idempotent, waits)
+                    await pair.wait_for_run(b"look")
+                    sent.cancel()
+                    if idempotent:
+                        async with asyncio.timeout(_LONG_RUN_S / 2):
+                            while not pair.client.cancelled:
+                                await asyncio.sleep(0.01)
+                    else:
+                        await asyncio.sleep(_RUN_S)
+                        self.assertEqual([], pair.client.cancelled)
+
+                _play(scenario)
+
     def test_request_is_offered_elsewhere_if_the_link_is_lost_before_the_go(
         self,
     ):
