Read, log and count what workers announce of themselves

The logs could not tell why a target got more requests than its announced limit, since no program read the announcement. Owners keep the state, log each change of it and each value that makes no sense, which is ignored, and show it as metrics and on the status page. Nothing acts on a limit yet.

The log of the owner of i-6b6955e94b has the limit of 2.4 requests a second from 6.09 s to 25.09 s, while it got 20 requests in 4 s from 13.8 s on. So the limit was announced to the one process through which all requests to the target pass, and was in force before and after the restart: the cause is that nothing applies it.

Two tests of a leaving worker had passed the status as another argument of the reply, which nothing noticed until the status was used.

--- a/packages/cli/src/sardinedoor_cli/views.py
+++ b/packages/cli/src/sardinedoor_cli/views.py
@@ -98,13 +98,24 @@
             worker.worker,
             worker.service,
             f"{worker.in_flight}/{worker.slots}",
-            "drained" if worker.drained else "-",
+            _worker_marks(worker),
         )
         for worker in fleet_status.workers
     ]
     return output.table(("worker", "service", "in flight", "marks"), rows)
 
 
+def _worker_marks(worker: admin_status.WorkerStatus) -> str:
+    marks = []
+    if worker.drained:
+        marks.append("drained")
+    if worker.leaving:
+        marks.append("leaving")
+    if worker.rate_limit is not None:
+        marks.append(f"limit {worker.rate_limit:g}/s")
+    return ",".join(marks) or "-"
+
+
 def _platform(platform: admin_status.PlatformStatus) -> str:
     age = "never" if platform.age_s < 0 else f"{platform.age_s:.1f} s ago"
     role = "reads it" if platform.reader else "gets changes from readers"
--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -68,6 +68,9 @@
         in_flight: Number of requests that it is running.
         slots: Number of requests that it may run at once.
         drained: Whether the settings don't contain it any more.
+        leaving: Whether it announces that it is draining.
+        rate_limit: Requests per second that it announces as its limit; None
+            without a limit.
     """
 
     worker: str
@@ -75,6 +78,8 @@
     in_flight: int
     slots: int
     drained: bool
+    leaving: bool = False
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +161,7 @@
     settings: store.SettingsStore,
     reads: service.PlatformPoller,
     local_workers: Iterable[workers.LocalWorker],
+    now: float,
 ) -> Status:
     """Returns the status of a node; the health of its workers is left empty.
 
@@ -166,6 +172,7 @@
         settings: Its settings.
         reads: Its reads from the platform.
         local_workers: Its own workers.
+        now: Monotonic time, in s.
     """
     teams = sorted(set(settings.subtrees) | set(settings.refused))
     return Status(
@@ -183,6 +190,8 @@
                 worker.in_flight,
                 worker.slots,
                 worker.drained,
+                worker.announced.is_leaving(now),
+                worker.announced.rate_limit,
             )
             for worker in local_workers
         ],
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -120,6 +120,7 @@
             file.workers,
             self._health,
             gate.EjectionGate(self._health, self._members, self._store),
+            self._metrics,
         )
         self._health_tasks = healthtasks.HealthTasks(
             self._health,
@@ -273,6 +274,7 @@
             self._store,
             self._platform_poller,
             self._workers.values(),
+            self._clock.monotonic(),
         )
         collected.health = healthstatus.collect(
             self._health, self._clock.monotonic()
--- a/packages/node/src/sardinedoor_node/metrics.py
+++ b/packages/node/src/sardinedoor_node/metrics.py
@@ -10,6 +10,8 @@
 # The last bucket is the longest deadline that users have stated.
 _BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0]
 
+_NO_LIMIT = -1.0
+
 
 class Metrics:
     """All metrics of one node, in a separate registry."""
@@ -37,7 +39,12 @@
             "End of the public certificate's validity, Unix time.",
             registry=self.registry,
         )
-
+        self._rate_limit = aioprometheus.Gauge(
+            "sardinedoor_worker_rate_limit",
+            "Requests per second that one of the node's workers announced as"
+            " its limit; -1 without a limit.",
+            registry=self.registry,
+        )
         self._request_duration = aioprometheus.Histogram(
             "sardinedoor_request_seconds",
             "Time from a whole request to its answer, in s.",
@@ -80,3 +87,9 @@
     def certificate_expiry(self, expires_at_s: float) -> None:
         """Sets the expiry of the public certificate, in s of Unix time."""
         self._certificate_expiry.set({}, expires_at_s)
+
+    def rate_limit(self, worker: str, rate_limit: float | None) -> None:
+        """Sets the announced limit of a worker, in requests per second."""
+        self._rate_limit.set(
+            {"worker": worker}, _NO_LIMIT if rate_limit is None else rate_limit
+        )
--- /dev/null
+++ b/packages/node/src/sardinedoor_node/owner/announcements.py
@@ -0,0 +1,157 @@
+"""What workers announce of themselves in the headers of their responses."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import math
+import re
+from typing import TYPE_CHECKING
+
+from sardinedoor_schema import codes
+
+if TYPE_CHECKING:
+    from tornado import httputil
+
+    from sardinedoor_node import metrics
+    from sardinedoor_node.owner import target
+
+logger = logging.getLogger(__name__)
+
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A worker counts as draining for this long after its last response that said so;
+# then a request may try it again.
+LEAVING_LEASE_S = 30.0
+# Bounds the length of a log line.
+_MAX_LOGGED_CHARACTERS = 80
+
+
+@dataclasses.dataclass(slots=True)
+class Announcement:
+    """The announcements in the headers of one response.
+
+    Attributes:
+        rate_limit: Requests per second that the worker accepts from all nodes
+            together; None if it announces no limit.
+        leaving: Whether the worker is draining.
+        invalid: Why headers can't be interpreted, by the name of the header. A
+            response with one announces neither a limit nor the end of one.
+    """
+
+    rate_limit: float | None = None
+    leaving: bool = False
+    invalid: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def read_rate_limit(self, headers: httputil.HTTPHeaders, name: str) -> None:
+        """Reads the rate limit from a header, if it is there.
+
+        Args:
+            headers: Headers of the response.
+            name: Name of the header.
+        """
+        text = headers.get(name)
+        if text is None:
+            return
+        if _DECIMAL.fullmatch(text):
+            self.rate_limit = float(text)
+        else:
+            self.invalid[name] = f"{text!r} is not a decimal number"
+
+
+class AnnouncedState:
+    """The latest announcements of one worker.
+
+    Attributes:
+        rate_limit: Requests per second that it accepts; None without a limit.
+    """
+
+    def __init__(self, worker: str, counters: metrics.Metrics | None = None):
+        """Starts without announcements.
+
+        Args:
+            worker: Name of the worker.
+            counters: Counts changes; None for no counters.
+        """
+        self._worker = worker
+        self._metrics = counters
+        self._limited_since = 0.0
+        self._leaving_until = -math.inf
+        self._last_invalid: dict[str, str] = {}
+        self.rate_limit: float | None = None
+
+    def observe(self, reply: target.TargetReply, now: float) -> None:
+        """Updates the state from a reply.
+
+        Args:
+            reply: Reply to a request or a probe. Replies without a complete
+                response, and those of another worker at the address, are
+                ignored.
+            now: Monotonic time, in s.
+        """
+        if not reply.status or reply.code is codes.Code.TARGET_REPLACED:
+            return
+        announcement = reply.announcement
+        if announcement.invalid:
+            self._record_invalid(announcement.invalid)
+        else:
+            self._set_rate_limit(announcement.rate_limit, now)
+        if reply.code is codes.Code.ANSWERED:
+            self._set_leaving(announcement.leaving, now)
+
+    def is_leaving(self, now: float) -> bool:
+        """Returns whether the worker has announced that it is draining.
+
+        Args:
+            now: Monotonic time, in s.
+        """
+        return now < self._leaving_until
+
+    def _set_leaving(self, leaving: bool, now: float) -> None:
+        was_leaving = self.is_leaving(now)
+        self._leaving_until = now + LEAVING_LEASE_S if leaving else now
+        if leaving and not was_leaving:
+            self._record_change("worker is leaving", "worker_leaving", {})
+
+    def _set_rate_limit(self, rate_limit: float | None, now: float) -> None:
+        if rate_limit == self.rate_limit:
+            return
+        previous, self.rate_limit = self.rate_limit, rate_limit
+        if rate_limit is None:
+            self._record_change(
+                "worker limit ended",
+                "worker_limit_ended",
+                {"limited_ms": round(1000 * (now - self._limited_since))},
+            )
+        else:
+            if previous is None:
+                self._limited_since = now
+            self._record_change(
+                "worker limited",
+                "worker_limited",
+                {"rate_limit": rate_limit, "previous": previous},
+            )
+        if self._metrics is not None:
+            self._metrics.rate_limit(self._worker, rate_limit)
+
+    def _record_invalid(self, invalid: dict[str, str]) -> None:
+        if self._metrics is not None:
+            self._metrics.event("announcement_ignored")
+        if invalid == self._last_invalid:
+            return
+        self._last_invalid = invalid
+        for name, reason in invalid.items():
+            logger.warning(
+                "announcement ignored",
+                extra={
+                    "worker": self._worker,
+                    "header": name,
+                    "reason": reason[:_MAX_LOGGED_CHARACTERS],
+                },
+            )
+
+    def _record_change(
+        self, message: str, event: str, inputs: dict[str, object]
+    ) -> None:
+        logger.info(message, extra={"worker": self._worker, **inputs})
+        if self._metrics is not None:
+            self._metrics.event(event)
--- a/packages/node/src/sardinedoor_node/owner/dialect.py
+++ b/packages/node/src/sardinedoor_node/owner/dialect.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.limits import deadlines
+from sardinedoor_node.owner import announcements
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -16,6 +17,10 @@
 
 
 REQUEST_ID_HEADER = "X-Request-Id"
+# A draining worker sets this header on all its responses, also to probes.
+LEAVING_HEADER = "Sardinedoor-Leaving"
+# Requests per second that a worker accepts, on all responses while it does.
+RATE_LIMIT_HEADER = "Sardinedoor-Rate-Limit"
 
 
 class TargetDialect(abc.ABC):
@@ -65,6 +70,16 @@
         del status, headers
         return codes.Code.ANSWERED
 
+    @abc.abstractmethod
+    def announcement(
+        self, headers: httputil.HTTPHeaders
+    ) -> announcements.Announcement:
+        """Returns what a target announces of itself.
+
+        Args:
+            headers: Headers of a response.
+        """
+
     def idle_timeout_s(self, headers: httputil.HTTPHeaders) -> float:
         """Returns how long the connection may stay idle, in s.
 
@@ -98,3 +113,13 @@
     def answered_id(self, headers: httputil.HTTPHeaders) -> str:
         """See base class."""
         return headers.get(REQUEST_ID_HEADER, "")
+
+    def announcement(
+        self, headers: httputil.HTTPHeaders
+    ) -> announcements.Announcement:
+        """See base class; any value announces that a target is leaving."""
+        announcement = announcements.Announcement(
+            leaving=LEAVING_HEADER in headers
+        )
+        announcement.read_rate_limit(headers, RATE_LIMIT_HEADER)
+        return announcement
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -253,7 +253,7 @@
             return exchange.refuse(codes.Code.NODE_LEAVING)
         if worker is None or worker.service != offer.service:
             return exchange.refuse(codes.Code.NOT_OWNER)
-        if worker.is_leaving(self._clock.monotonic()):
+        if worker.announced.is_leaving(self._clock.monotonic()):
             return exchange.refuse(codes.Code.TARGET_LEAVING)
         if self._quarantine.is_refused(offer.fingerprint):
             return exchange.refuse(codes.Code.QUARANTINED)
--- a/packages/node/src/sardinedoor_node/owner/monitored.py
+++ b/packages/node/src/sardinedoor_node/owner/monitored.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from sardinedoor_node import metrics
     from sardinedoor_node.health import monitor
     from sardinedoor_node.owner import gate
     from sardinedoor_schema.generated import settings
@@ -80,6 +81,7 @@
     worker_settings: Mapping[str, settings.WorkerSettings],
     health_monitor: monitor.HealthMonitor,
     admission: gate.Gate,
+    counters: metrics.Metrics,
 ) -> dict[str, workers.LocalWorker]:
     """Builds the node's workers with clients that report to the monitor.
 
@@ -87,6 +89,7 @@
         worker_settings: Settings of the workers by name.
         health_monitor: Health of the node's workers.
         admission: Gate that admits or refuses offers to them.
+        counters: Metrics of the node.
 
     Returns:
         The workers by name.
@@ -96,6 +99,8 @@
         client = MonitoredClient(
             name, target.TargetClient(worker.address), health_monitor
         )
-        local[name] = workers.LocalWorker(name, worker, client)
+        local[name] = workers.LocalWorker(
+            name, worker, client, counters=counters
+        )
         local[name].gate = admission
     return local
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -13,6 +13,7 @@
 from tornado import iostream
 
 from sardinedoor_node import owner
+from sardinedoor_node.owner import announcements
 from sardinedoor_node.owner import connections
 from sardinedoor_node.owner import dialect
 from sardinedoor_schema import codes
@@ -58,6 +59,7 @@
         status: HTTP status of the response.
         headers: Headers of the response.
         body: Body of the response.
+        announcement: What the worker announces in the headers.
     """
 
     code: codes.Code
@@ -67,6 +69,9 @@
         default_factory=httputil.HTTPHeaders
     )
     body: bytes = b""
+    announcement: announcements.Announcement = dataclasses.field(
+        default_factory=announcements.Announcement
+    )
 
 
 class _ResponseCollector(httputil.HTTPMessageDelegate):
@@ -340,6 +345,7 @@
             status=collector.status,
             headers=collector.headers,
             body=b"".join(collector.chunks),
+            announcement=self._dialect.announcement(collector.headers),
         )
 
     async def is_listening(self) -> bool:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -3,29 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import secrets
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from sardinedoor_node.limits import admission
+from sardinedoor_node.owner import announcements
 from sardinedoor_node.owner import target
-from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from sardinedoor_node import metrics
     from sardinedoor_node import owner
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import settings
 
 DEFAULT_SLOTS = 3
 _SALT_BYTES = 16
-# A draining worker sets this header on all its responses, also to probes.
-LEAVING_HEADER = "Sardinedoor-Leaving"
-# A worker counts as draining for this long after its last response with the
-# header; then a request may try it again.
-LEAVING_LEASE_S = 30.0
 
 
 class LocalWorker:
@@ -37,6 +32,7 @@
         client: Sends requests to it.
         drained: Whether the settings no longer name it, so that it gets no
             new requests.
+        announced: What it announces of itself.
         gate: Admits or refuses offers by the worker's health; None admits
             all.
     """
@@ -47,6 +43,7 @@
         worker: settings.WorkerSettings,
         client: owner.Client | None = None,
         max_wait_s: float = admission.MAX_WAIT_S,
+        counters: metrics.Metrics | None = None,
     ):
         """Starts without requests in flight.
 
@@ -55,12 +52,13 @@
             worker: Its settings.
             client: Sends requests to it; an HTTP client by default.
             max_wait_s: Longest time that an offer waits for a slot, in s.
+            counters: Counts what it announces; None for no counters.
         """
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
         self.drained = False
-        self._leaving_until = -math.inf
+        self.announced = announcements.AnnouncedState(name, counters)
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES), max_wait_s
         )
@@ -88,27 +86,14 @@
         """Number of slots in use."""
         return self._admission.in_flight
 
-    def is_leaving(self, now: float) -> bool:
-        """Returns whether the worker has announced that it is draining.
-
-        Args:
-            now: Monotonic time, in s.
-        """
-        return now < self._leaving_until
-
     def observe_reply(self, reply: target.TargetReply, now: float) -> None:
-        """Updates whether the worker is leaving from a response header.
+        """Updates what the worker announces.
 
         Args:
-            reply: Reply to a request or a probe; failures are ignored.
+            reply: Reply to a request or a probe.
             now: Monotonic time, in s.
         """
-        if reply.code != codes.Code.ANSWERED:
-            return
-        if LEAVING_HEADER in reply.headers:
-            self._leaving_until = now + LEAVING_LEASE_S
-        else:
-            self._leaving_until = now
+        self.announced.observe(reply, now)
 
     @property
     def slots(self) -> int:
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -197,6 +197,7 @@
                 worker_settings,
                 breaker.BreakerClient(client, gate),
                 _SLOT_WAIT_S,
+                self._metrics,
             )
             worker.gate = gate
             return worker
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -10,7 +10,6 @@
 from sardinedoor_node.owner import holds
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.owner import target
-from sardinedoor_node.owner import workers
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 from sardinedoor_standins import faketarget
@@ -242,8 +241,8 @@
 
 def _target_leaving(fixture: _Fixture) -> None:
     worker = fixture.owner._workers["n0-w0"]
-    reply = target.TargetReply(codes.Code.ANSWERED, 200)
-    reply.headers.add(workers.LEAVING_HEADER, "1")
+    reply = target.TargetReply(codes.Code.ANSWERED, status=200)
+    reply.announcement.leaving = True
     worker.observe_reply(reply, fixture.owner._clock.monotonic())
     fixture.send()
 
--- a/tests/test_owner/test_owner_workers.py
+++ b/tests/test_owner/test_owner_workers.py
@@ -8,6 +8,8 @@
 import testtools
 
 from sardinedoor_node.membership import configured
+from sardinedoor_node.owner import announcements
+from sardinedoor_node.owner import dialect
 from sardinedoor_node.owner import target
 from sardinedoor_node.owner import workers
 from sardinedoor_node.util import clock
@@ -17,9 +19,10 @@
 
 
 def _make_reply(*names: str, code: codes.Code = codes.Code.ANSWERED):
-    reply = target.TargetReply(code, 200)
+    reply = target.TargetReply(code, status=200)
     for name in names:
         reply.headers.add(name, "yes")
+    reply.announcement = dialect.PlainDialect().announcement(reply.headers)
     return reply
 
 
@@ -43,7 +46,7 @@
 
     def test_a_response_header_marks_a_draining_worker(self):
         connection_lost = _make_reply(code=codes.Code.TARGET_CONNECTION_LOST)
-        lease_s = workers.LEAVING_LEASE_S
+        lease_s = announcements.LEAVING_LEASE_S
         # Time in s, reply, whether the worker is leaving afterwards.
         rows = [
             (1.0, _make_reply(), False),
@@ -56,7 +59,9 @@
         ]
         for now, reply, leaving in rows:
             self.worker.observe_reply(reply, now)
-            self.assertEqual(leaving, self.worker.is_leaving(now), now)
+            self.assertEqual(
+                leaving, self.worker.announced.is_leaving(now), now
+            )
 
     def test_limits_of_the_service_apply_to_the_worker(self):
         # Slots and connections of the service; slots and idle connections of
