Keep a target's announced rate limit at its owner

A target that is in need announces how many requests a second it accepts from all nodes together.

Cause: the announcement was read, logged and counted, but nothing applied it. It is a missing admission rule, not a lost message: the owner of each target, through which all requests to it pass, knew the limit during every violation.

The owner's admission now has a token bucket beside its slots. A request above the limit waits in the queue if its turn comes within the wait that the offer allows, and is refused at once otherwise (new code 2045, target_limited). An owner that was restarted knows no limit until the first response of its target, so offers carry the limit that the ingress knows, and the one learned last applies until that response; a report of an owner that has heard nothing doesn't end what an ingress knows. A start of the target ends all of it. Refusals report when a further request would probably be accepted, and Retry-After is never earlier than the earliest of these times (a random 0.1 to 0.4 s before).

An ingress uses a limited target once the others are loaded, and one that refused for its limit after a time that doubles with each refusal; it doesn't wait in a queue whose limit admits no request in time.

--- a/packages/node/src/sardinedoor_node/ingress/feedback.py
+++ b/packages/node/src/sardinedoor_node/ingress/feedback.py
@@ -35,5 +35,11 @@
             load.weight_percent / 100,
             load.trial_ms / 1000,
             load.in_flight + load.queued,
+            None
+            if isinstance(load.rate_limit, msgspec.UnsetType)
+            else load.rate_limit,
+            load.wait_ms / 1000,
+            load.unheard,
+            result.code == codes.Code.TARGET_LIMITED,
         )
     return feedback
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -28,7 +28,13 @@
 _MAX_ATTEMPTS = 3
 _MAX_PICKS = 8
 _MAX_LOST_CONNECTIONS = 2
-_FREE_REFUSALS = frozenset({codes.Code.LINK_DOWN, codes.Code.TARGET_EJECTED})
+_FREE_REFUSALS = frozenset(
+    {
+        codes.Code.LINK_DOWN,
+        codes.Code.TARGET_EJECTED,
+        codes.Code.TARGET_LIMITED,
+    }
+)
 _LEAVING = frozenset({codes.Code.TARGET_LEAVING, codes.Code.WORKER_DRAINED})
 # These refusals depend on the request, not on the owner: every other owner
 # would refuse it too.
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -14,6 +14,7 @@
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import requests
 from sardinedoor_node.ingress import responses
+from sardinedoor_node.ingress import retryafter
 from sardinedoor_node.ingress import server
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
@@ -34,8 +35,6 @@
 # Subtracted from a request's deadline, so that the response reaches the caller
 # before the caller's own timeout.
 _RESPONSE_MARGIN_S = 0.01
-_RETRY_AFTER_MIN_S = 0.1
-_RETRY_AFTER_MAX_S = 0.4
 
 
 class PublishedRouteHandler(requests.Handler):
@@ -70,6 +69,7 @@
         self._metrics = counters
         self._clock = time
         self._rng = rng
+        self._retry_delays = retryafter.RetryDelays(rng)
         self._nested_calls = nested_calls
         self._routes: hosts.HostRoutes | None = None
         self._server = server.Server(self, counters, time, max_connections)
@@ -117,7 +117,7 @@
             result = attempt.ForwardResult(request.refusal)
         else:
             result = await self._forward(request, request_id, progress)
-        self._respond(request, request_id, result)
+        self._respond(request, request_id, result, progress.free_at)
         duration_s = self._clock.monotonic() - started_at
         self._metrics.result(result.code)
         self._metrics.observe_request_duration(duration_s)
@@ -208,6 +208,7 @@
         request: requests.Request,
         request_id: str,
         result: attempt.ForwardResult,
+        free_at: float,
     ) -> None:
         if self._server.draining:
             request.connection.close_after_response()
@@ -216,8 +217,8 @@
             fields = responses.reply_headers(reply)
             responses.write(request, reply.status, fields, reply.body)
             return
-        retry_after_s = self._rng.uniform(
-            _RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S
+        retry_after_s = self._retry_delays.delay_s(
+            free_at, self._clock.monotonic()
         )
         responses.write(
             request,
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -90,6 +90,11 @@
         offer = _build_offer(job, choice, exchange_id, self._clock)
         if wait_s is not None:
             offer.wait_ms = max(0, int(wait_s * 1000))
+        limit = self._picker.rate_limit(target)
+        if limit is not None:
+            age_s = self._clock.monotonic() - limit.known_since
+            offer.rate_limit = limit.rate
+            offer.rate_limit_age_ms = max(0, int(age_s * 1000))
         # A large body is sent once, to an owner that has a slot for it.
         hold_first = (
             is_bulk or claim is not None or self._needs_hold(job, channel)
--- a/packages/node/src/sardinedoor_node/ingress/requestprogress.py
+++ b/packages/node/src/sardinedoor_node/ingress/requestprogress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.ingress import attempt
@@ -47,6 +48,8 @@
             with a server error, else the first failure without a reply.
         ejected_count: Number of owners that refused it for the health of their
             target.
+        free_at: When one of the busy owners would probably take a further
+            request, monotonic, in s; infinite if none told.
         link_was_down: Whether an owner's link wasn't open.
         waited: Whether it was offered to owners' queues.
         last_resorts: Names of the workers tried though probably failing.
@@ -69,6 +72,7 @@
     )
     failure: attempt.ForwardResult | None = None
     ejected_count: int = 0
+    free_at: float = math.inf
     link_was_down: bool = False
     waited: bool = False
     last_resorts: set[str] = dataclasses.field(default_factory=set)
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -19,6 +19,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -71,7 +73,11 @@
 )
 # The owner has no slot for the request at the moment.
 _NO_SLOT_REFUSALS = frozenset(
-    {codes.Code.QUEUE_FULL, codes.Code.ORGANISATION_OVER_SHARE}
+    {
+        codes.Code.QUEUE_FULL,
+        codes.Code.ORGANISATION_OVER_SHARE,
+        codes.Code.TARGET_LIMITED,
+    }
 )
 # The request is not offered to other owners after these codes.
 _FINAL_REFUSALS = frozenset(
@@ -199,7 +205,7 @@
             if name not in progress.may_have_run
         ]
         choices = self._picker.pick_queues(
-            busy, QUEUES_PER_REQUEST, job.may_repeat
+            busy, QUEUES_PER_REQUEST, job.may_repeat, wait_s
         )
         return Step(choices, wait_s)
 
@@ -247,6 +253,11 @@
             progress.ejected_count += 1
         if code in _NO_SLOT_REFUSALS:
             progress.busy[choice.target.worker] = choice.target
+            load = result.load
+            if not isinstance(load, msgspec.UnsetType):
+                progress.free_at = min(
+                    progress.free_at, now + load.wait_ms / 1000
+                )
         if code in _FREE_REFUSALS or code in _NO_SLOT_REFUSALS:
             return
         if codes.outcome(code) is codes.Outcome.NOT_RUN:
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -6,6 +6,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.limits import ratelimit
 from sardinedoor_node.limits import usage
 from sardinedoor_schema import codes
 
@@ -81,6 +82,9 @@
     are served by priority, then by the organisation's recent usage, the least
     first. When the queue is full, a request of lower priority, or of an
     organisation with far more usage, is displaced.
+
+    Attributes:
+        rate_limiter: Limits the rate of grants; admits any rate by default.
     """
 
     def __init__(self, slots: int, salt: bytes, max_wait_s: float = MAX_WAIT_S):
@@ -100,6 +104,7 @@
         self._service_time_s = 0.0
         self._last_empty_at = 0.0
         self._wait_share = _MAX_WAIT_SHARE
+        self.rate_limiter = ratelimit.RateLimiter()
 
     @property
     def slots(self) -> int:
@@ -158,7 +163,7 @@
             self._last_sequence,
             max_wait_s=max_wait_s,
         )
-        if self._in_flight < self._slots and not self._queue:
+        if not self._queue and self._can_grant(now):
             self._last_empty_at = now
             self._grant(waiter, now)
             return waiter
@@ -168,6 +173,32 @@
         self._refuse(waiter, self._overload_code(waiter, now))
         return waiter
 
+    def expected_wait_s(self, now: float) -> float:
+        """Returns how long a further request would probably wait, in s."""
+        return self._expected_wait_s(len(self._queue), now)
+
+    def _expected_wait_s(self, ahead: int, now: float) -> float:
+        """Returns how long a request would wait behind others, in s."""
+        wait_s = self.rate_limiter.delay_s(ahead + 1, now)
+        if self._in_flight + ahead < self._slots:
+            return wait_s
+        slots = max(1, self._slots)
+        return max(wait_s, (ahead + 1) * self._service_time_s / slots)
+
+    def rate_limit_delay_s(self, now: float) -> float | None:
+        """Returns when the rate limit admits the next queued request, in s.
+
+        Returns:
+            The delay; None if the next grant has to wait for a slot.
+        """
+        if self._in_flight >= self._slots:
+            return None
+        return self.rate_limiter.delay_s(1, now)
+
+    def grant_waiting(self, now: float) -> None:
+        """Grants what slots and the rate limit allow to queued requests."""
+        self._grant_free_slots(now)
+
     def wait_limit_s(self, now: float) -> float:
         """Returns how long a request may currently wait, in s."""
         if now - self._last_empty_at <= CODEL_INTERVAL_S:
@@ -212,14 +243,17 @@
         self._refuse(waiter, self._expiry_code(waiter, now))
         self._record_empty_queue(now)
 
-    def release(self, waiter: Waiter, now: float) -> None:
+    def release(self, waiter: Waiter, now: float, used: bool = True) -> None:
         """Returns a slot and grants it to the next queued request.
 
         Args:
             waiter: The waiter that held the slot.
             now: Monotonic time, in s.
+            used: Whether the request was sent to the worker.
         """
         self._in_flight -= 1
+        if not used:
+            self.rate_limiter.give_back(now)
         served_s = now - waiter.granted_at
         self._usage.add(waiter.cells, served_s - waiter.charged_s, now)
         if self._service_time_s == 0.0:
@@ -234,7 +268,7 @@
             return False
         own = self._rank(waiter, now)
         ahead = sum(1 for w in self._queue if self._rank(w, now) < own)
-        wait_s = (ahead + 1) * self._service_time_s / self._slots
+        wait_s = self._expected_wait_s(ahead, now)
         left_s = waiter.deadline - now - self._service_time_s
         limit_s = self.wait_left_s(waiter, now)
         if waiter.max_wait_s is not None:
@@ -267,9 +301,11 @@
     def _overload_code(self, waiter: Waiter, now: float) -> codes.Code:
         """Returns the code of a refusal due to load.
 
-        The organisation is over its share if a queued request belongs to one
-        with far less usage.
+        It is the worker's rate limit if a slot is free. The organisation is
+        over its share if a queued request belongs to one with far less usage.
         """
+        if self._in_flight < self._slots and not self._can_grant(now):
+            return codes.Code.TARGET_LIMITED
         own_s = self._usage.usage_s(waiter.cells, now)
         least_s = min(
             (self._usage.usage_s(w.cells, now) for w in self._queue),
@@ -283,8 +319,15 @@
         usage_s = self._usage.usage_s(waiter.cells, now)
         return (-waiter.priority, usage_s, waiter.sequence)
 
+    def _can_grant(self, now: float) -> bool:
+        """Returns whether a slot is free and the rate limit admits a request."""
+        return (
+            self._in_flight < self._slots
+            and self.rate_limiter.delay_s(1, now) <= 0
+        )
+
     def _grant_free_slots(self, now: float) -> None:
-        while self._queue and self._in_flight < self._slots:
+        while self._queue and self._can_grant(now):
             waiter = min(self._queue, key=lambda w: self._rank(w, now))
             self._queue.remove(waiter)
             if self._is_expired(waiter, now):
@@ -312,6 +355,7 @@
 
     def _grant(self, waiter: Waiter, now: float) -> None:
         self._in_flight += 1
+        self.rate_limiter.take(now)
         waiter.granted_at = now
         waiter.charged_s = self._service_time_s
         self._usage.add(waiter.cells, waiter.charged_s, now)
--- a/packages/node/src/sardinedoor_node/owner/announcements.py
+++ b/packages/node/src/sardinedoor_node/owner/announcements.py
@@ -22,6 +22,8 @@
 # A worker counts as draining for this long after its last response that said so;
 # then a request may try it again.
 LEAVING_LEASE_S = 30.0
+# Other responses may be spoiled on the way, or come from another worker.
+_WORKER_RESPONSES = frozenset({codes.Code.ANSWERED, codes.Code.TARGET_REFUSED})
 # Bounds the length of a log line.
 _MAX_LOGGED_CHARACTERS = 80
 
@@ -63,6 +65,8 @@
 
     Attributes:
         rate_limit: Requests per second that it accepts; None without a limit.
+        unheard: Whether it hasn't responded yet, so that a limit is known only
+            from ingresses.
     """
 
     def __init__(self, worker: str, counters: metrics.Metrics | None = None):
@@ -77,27 +81,70 @@
         self._limited_since = 0.0
         self._leaving_until = -math.inf
         self._last_invalid: dict[str, str] = {}
+        self._adopted_learned_at = -math.inf
         self.rate_limit: float | None = None
+        self.unheard = True
 
     def observe(self, reply: target.TargetReply, now: float) -> None:
         """Updates the state from a reply.
 
         Args:
-            reply: Reply to a request or a probe. Replies without a complete
-                response, and those of another worker at the address, are
-                ignored.
+            reply: Reply to a request or a probe. Replies that aren't a complete
+                response of this worker are ignored.
             now: Monotonic time, in s.
         """
-        if not reply.status or reply.code is codes.Code.TARGET_REPLACED:
+        if not reply.status or reply.code not in _WORKER_RESPONSES:
             return
         announcement = reply.announcement
         if announcement.invalid:
             self._record_invalid(announcement.invalid)
         else:
+            self.unheard = False
             self._set_rate_limit(announcement.rate_limit, now)
         if reply.code is codes.Code.ANSWERED:
             self._set_leaving(announcement.leaving, now)
 
+    def reset(self, now: float) -> None:
+        """Forgets what the worker announced before it was started again.
+
+        Args:
+            now: Monotonic time, in s.
+        """
+        self._leaving_until = -math.inf
+        self._set_rate_limit(None, now)
+        # What ingresses have learned before speaks of the earlier run.
+        self._adopted_learned_at = now
+        self.unheard = True
+
+    def adopt_rate_limit(
+        self, rate_limit: float, age_s: float, now: float
+    ) -> None:
+        """Takes over the limit that an ingress knows of.
+
+        An owner that was restarted knows no limit until the first response of
+        its worker. Until then the limit that was learned last applies.
+
+        Args:
+            rate_limit: Requests per second.
+            age_s: Time since the ingress learned of it, in s.
+            now: Monotonic time, in s.
+        """
+        learned_at = now - age_s
+        if not self.unheard or learned_at <= self._adopted_learned_at:
+            return
+        self._adopted_learned_at = learned_at
+        if rate_limit == self.rate_limit:
+            return
+        logger.info(
+            "worker limit adopted",
+            extra={
+                "worker": self._worker,
+                "rate_limit": rate_limit,
+                "age_ms": round(1000 * age_s),
+            },
+        )
+        self._set_rate_limit(rate_limit, now)
+
     def is_leaving(self, now: float) -> bool:
         """Returns whether the worker has announced that it is draining.
 
--- a/packages/node/src/sardinedoor_node/owner/colocated.py
+++ b/packages/node/src/sardinedoor_node/owner/colocated.py
@@ -81,7 +81,7 @@
                 extra={"worker": entry.name, "born_ms": entry.started_ms},
             )
             self._started_ms = entry.started_ms
-            current.client.close()
+            current.started_again(self._clock.monotonic())
 
     def __iter__(self) -> Iterator[workers.LocalWorker]:
         return iter([self._current] if self._current else [])
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -253,6 +253,7 @@
             return exchange.refuse(codes.Code.NODE_LEAVING)
         if worker is None or worker.service != offer.service:
             return exchange.refuse(codes.Code.NOT_OWNER)
+        self._adopt_rate_limit(offer, worker)
         if worker.announced.is_leaving(self._clock.monotonic()):
             return exchange.refuse(codes.Code.TARGET_LEAVING)
         if self._quarantine.is_refused(offer.fingerprint):
@@ -273,14 +274,14 @@
         self, exchange: Exchange, worker: workers.LocalWorker
     ) -> _ReplyOrRefusal:
         if worker.drained:
-            return exchange.refuse(codes.Code.WORKER_DRAINED, worker.load())
+            return self._refuse(exchange, worker, codes.Code.WORKER_DRAINED)
         if not worker.admits(exchange.offer):
-            return exchange.refuse(codes.Code.TARGET_EJECTED, worker.load())
+            return self._refuse(exchange, worker, codes.Code.TARGET_EJECTED)
         waiter = await worker.acquire_slot(
             exchange.offer, exchange.deadline, self._clock
         )
         if waiter.code is not None:
-            return exchange.refuse(waiter.code, worker.load())
+            return self._refuse(exchange, worker, waiter.code)
         try:
             request = exchange.offer.request
             if isinstance(request, msgspec.UnsetType):
@@ -290,7 +291,23 @@
                 request = hold_result.unwrap()
             return await self._run_request(exchange, worker, request)
         finally:
-            worker.release_slot(waiter, self._clock)
+            worker.release_slot(waiter, self._clock, exchange.run_started)
+
+    def _refuse(
+        self, exchange: Exchange, worker: workers.LocalWorker, code: codes.Code
+    ) -> wire.Refusal:
+        """Returns a refusal with the load of the worker."""
+        return exchange.refuse(code, worker.load(self._clock.monotonic()))
+
+    def _adopt_rate_limit(
+        self, offer: wire.Offer, worker: workers.LocalWorker
+    ) -> None:
+        if not isinstance(offer.rate_limit, msgspec.UnsetType):
+            worker.adopt_rate_limit(
+                offer.rate_limit,
+                offer.rate_limit_age_ms / 1000,
+                self._clock.monotonic(),
+            )
 
     async def _hold_slot(
         self, exchange: Exchange
@@ -355,8 +372,10 @@
             offer.service, worker, fingerprint, reply.code
         )
         if reply.code != codes.Code.ANSWERED:
-            return exchange.refuse(reply.code, worker.load())
-        return _to_message(offer.id, reply, worker.load())
+            return self._refuse(exchange, worker, reply.code)
+        return _to_message(
+            offer.id, reply, worker.load(self._clock.monotonic())
+        )
 
     async def _record_run_end(
         self,
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from typing import TYPE_CHECKING
 
@@ -62,6 +63,7 @@
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES), max_wait_s
         )
+        self._rate_limiter = self._admission.rate_limiter
         self._probes = target.TargetClient(worker.address)
         self.gate: owner.Gate | None = None
 
@@ -73,7 +75,9 @@
         Args:
             predecessor: The earlier worker.
         """
+        limiter = self._admission.rate_limiter
         self._admission = predecessor._admission
+        self._admission.rate_limiter = limiter
         predecessor.client.close()
 
     def resize(self, slots: int, time: clock.Clock) -> None:
@@ -94,6 +98,34 @@
             now: Monotonic time, in s.
         """
         self.announced.observe(reply, now)
+        self._apply_rate_limit(now)
+
+    def started_again(self, now: float) -> None:
+        """Forgets what the worker announced before it was started again.
+
+        Args:
+            now: Monotonic time, in s.
+        """
+        self.client.close()
+        self.announced.reset(now)
+        self._apply_rate_limit(now)
+
+    def adopt_rate_limit(
+        self, rate_limit: float, age_s: float, now: float
+    ) -> None:
+        """Takes over a limit from an ingress until the first response.
+
+        Args:
+            rate_limit: Requests per second.
+            age_s: Time since the ingress learned of it, in s.
+            now: Monotonic time, in s.
+        """
+        self.announced.adopt_rate_limit(rate_limit, age_s, now)
+        self._apply_rate_limit(now)
+
+    def _apply_rate_limit(self, now: float) -> None:
+        self._rate_limiter.set_rate(self.announced.rate_limit, now)
+        self._admission.grant_waiting(now)
 
     @property
     def slots(self) -> int:
@@ -164,29 +196,53 @@
     ) -> None:
         decided = asyncio.Event()
         waiter.on_decision = decided.set
-        timeout_s = self._admission.wait_left_s(waiter, time.monotonic())
         try:
-            async with asyncio.timeout(timeout_s):
-                await decided.wait()
-        except TimeoutError:
-            self._admission.time_out(waiter, time.monotonic())
+            while waiter.decision is admission.Decision.WAITING:
+                now = time.monotonic()
+                left_s = self._admission.wait_left_s(waiter, now)
+                delay_s = self._admission.rate_limit_delay_s(now)
+                is_last = delay_s is None or delay_s >= left_s
+                try:
+                    async with asyncio.timeout(left_s if is_last else delay_s):
+                        await decided.wait()
+                except TimeoutError:
+                    if is_last:
+                        self._admission.time_out(waiter, time.monotonic())
+                    else:
+                        self._admission.grant_waiting(time.monotonic())
         except asyncio.CancelledError:
             self._admission.withdraw(waiter, time.monotonic())
             if waiter.decision is admission.Decision.GRANTED:
-                self.release_slot(waiter, time)
+                self.release_slot(waiter, time, used=False)
             raise
 
-    def release_slot(self, waiter: admission.Waiter, time: clock.Clock) -> None:
-        """Returns a granted slot."""
-        self._admission.release(waiter, time.monotonic())
+    def release_slot(
+        self, waiter: admission.Waiter, time: clock.Clock, used: bool = True
+    ) -> None:
+        """Returns a granted slot.
+
+        Args:
+            waiter: The waiter that was granted the slot.
+            time: The clock.
+            used: Whether a request was sent to the worker.
+        """
+        self._admission.release(waiter, time.monotonic(), used)
+
+    def load(self, now: float) -> wire.Load:
+        """Returns the load report for ingresses.
 
-    def load(self) -> wire.Load:
-        """Returns the load report for ingresses."""
+        Args:
+            now: Monotonic time, in s.
+        """
         load = wire.Load(
             in_flight=self._admission.in_flight,
             queued=self._admission.queued,
             latency_us=int(self._admission.service_time_s * 1_000_000),
+            wait_ms=math.ceil(1000 * self._admission.expected_wait_s(now)),
+            unheard=self.announced.unheard,
         )
+        if self.announced.rate_limit is not None:
+            load.rate_limit = self.announced.rate_limit
         if self.gate is not None:
             self.gate.annotate_load(self.name, load)
         return load
--- a/packages/node/src/sardinedoor_node/picking/__init__.py
+++ b/packages/node/src/sardinedoor_node/picking/__init__.py
@@ -47,7 +47,11 @@
         """
 
     def pick_queues(
-        self, candidates: Sequence[table.Target], count: int, idempotent: bool
+        self,
+        candidates: Sequence[table.Target],
+        count: int,
+        idempotent: bool,
+        wait_s: float,
     ) -> list[Choice]:
         """Picks the targets at whose owners a request waits for a slot.
 
@@ -55,11 +59,13 @@
             candidates: Targets whose owners had no free slot.
             count: Largest number of targets.
             idempotent: Whether the request may run twice.
+            wait_s: Longest time that the request may wait, in s.
 
         Returns:
-            The targets with the shortest queues, the best first.
+            The targets with the shortest queues, the best first; none whose
+            rate limit admits no request in that time.
         """
-        del candidates, count, idempotent
+        del candidates, count, idempotent, wait_s
         return []
 
     def pick_last_resort(
@@ -86,6 +92,11 @@
         del target
         return 0.0
 
+    def rate_limit(self, target: table.Target) -> views.RateLimit | None:
+        """Returns the limit that a target has announced, None if unknown."""
+        del target
+        return None
+
     @abc.abstractmethod
     def request_started(self, target: table.Target) -> float:
         """Counts a request that is sent to a target.
--- a/packages/node/src/sardinedoor_node/picking/leastcost.py
+++ b/packages/node/src/sardinedoor_node/picking/leastcost.py
@@ -35,6 +35,13 @@
 _FAILING_COST = 3.0
 _FAILING_COST_IDEMPOTENT = 0.6
 _REMOTE_COST = 0.7
+# A limited target is used once the others are loaded, and one whose allowance is
+# probably used up once they are busy.
+_LIMITED_COST = 0.4
+_EXHAUSTED_COST = 1.5
+# The end of a limit is known only from a response, so a limit that wasn't reported
+# again for this long doesn't count.
+_RATE_LIMIT_TTL_S = 3.0
 # The load that an owner reported is outdated after this time.
 _LOAD_REPORT_TTL_S = 1.0
 _LOCAL_SAMPLE_SIZE = 4
@@ -110,12 +117,19 @@
         )
 
     def pick_queues(
-        self, candidates: Sequence[table.Target], count: int, idempotent: bool
+        self,
+        candidates: Sequence[table.Target],
+        count: int,
+        idempotent: bool,
+        wait_s: float,
     ) -> list[picking.Choice]:
         """See base class."""
         now = self._clock.monotonic()
         usable = [
-            t for t in candidates if not self._is_failing(t, idempotent, now)
+            t
+            for t in candidates
+            if not self._is_failing(t, idempotent, now)
+            and self._is_admitted_by(t, now + wait_s)
         ]
         usable.sort(key=lambda t: self._cost(t, idempotent, now))
         return [picking.Choice(t) for t in usable[:count]]
@@ -141,6 +155,11 @@
         best = min(doubtful, key=lambda t: self._cost(t, idempotent, now))
         return picking.Choice(best, worker.Rotation.FLOOR)
 
+    def _is_admitted_by(self, target: table.Target, at: float) -> bool:
+        """Returns whether its rate limit admits a request by a time."""
+        limit = self.rate_limit(target)
+        return limit is None or limit.free_at <= at
+
     def _is_failing(
         self, target: table.Target, idempotent: bool, now: float
     ) -> bool:
@@ -182,7 +201,16 @@
         )
         if not self._is_local(target):
             cost += _REMOTE_COST
-        return cost
+        return cost + self._limit_cost(target, now)
+
+    def _limit_cost(self, target: table.Target, now: float) -> float:
+        limit = self.rate_limit(target)
+        if limit is None:
+            return 0.0
+        if now < limit.retry_at:
+            return _EXHAUSTED_COST
+        is_recent = now - limit.known_since < _RATE_LIMIT_TTL_S
+        return _LIMITED_COST if is_recent else 0.0
 
     def _failing_probability(self, target: table.Target, now: float) -> float:
         """Returns the reported probability, decayed to the stationary one."""
--- a/packages/node/src/sardinedoor_node/picking/tracking.py
+++ b/packages/node/src/sardinedoor_node/picking/tracking.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import logging
 from typing import TYPE_CHECKING
 from typing import Generic
 from typing import Protocol
@@ -11,14 +12,16 @@
 
 from sardinedoor_node import picking
 from sardinedoor_node.picking import path
+from sardinedoor_node.picking import views
 
 if TYPE_CHECKING:
     import random
 
     from sardinedoor_node.membership import table
-    from sardinedoor_node.picking import views
     from sardinedoor_node.util import clock
 
+logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(slots=True)
 class Location:
@@ -58,6 +61,7 @@
         self._location = location
         self._views: dict[str, _View] = {}
         self._paths = path.PathMonitor()
+        self._rate_limits: dict[str, views.RateLimit] = {}
 
     @property
     def paths(self) -> path.PathMonitor:
@@ -108,3 +112,34 @@
         )
         if feedback.report is not None:
             self._apply_report(view, feedback.report, now)
+            self._set_rate_limit(target.worker, feedback.report, now)
+
+    def rate_limit(self, target: table.Target) -> views.RateLimit | None:
+        """See base class."""
+        return self._rate_limits.get(target.worker)
+
+    def _set_rate_limit(
+        self, worker: str, report: views.Report, now: float
+    ) -> None:
+        if report.unheard and report.rate_limit is None:
+            return
+        known = self._rate_limits.pop(worker, None)
+        if report.rate_limit is not None:
+            refusals = 0
+            if known is not None and report.refused_by_limit:
+                refusals = known.refusals + 1
+            self._rate_limits[worker] = views.RateLimit(
+                report.rate_limit, now, now + report.wait_s, refusals
+            )
+        previous = known.rate if known is not None else None
+        if previous != report.rate_limit:
+            logger.info(
+                "target limited"
+                if report.rate_limit is not None
+                else "target limit ended",
+                extra={
+                    "worker": worker,
+                    "rate_limit": report.rate_limit,
+                    "previous": previous,
+                },
+            )
--- a/packages/node/src/sardinedoor_node/picking/views.py
+++ b/packages/node/src/sardinedoor_node/picking/views.py
@@ -8,6 +8,10 @@
 _INITIAL_WEIGHT = 0.2
 
 
+# Bounds the time for which a limited target is left unused.
+_MAX_DOUBLINGS = 3
+
+
 @dataclasses.dataclass(slots=True)
 class Report:
     """State of a worker that its owner sends with a reply.
@@ -17,12 +21,52 @@
         weight: Load balancing weight, up to 1.
         trial_delay_s: Time until the next trial is admitted, in s.
         load: Requests in flight and queued at the owner.
+        rate_limit: Requests per second that the worker accepts; None without a
+            limit.
+        wait_s: Time that a further request would probably wait, in s.
+        unheard: Whether the owner has had no response of the worker yet, so
+            that the lack of a limit says nothing.
+        refused_by_limit: Whether the offer was refused for the limit.
     """
 
     ejected: bool = False
     weight: float = 1.0
     trial_delay_s: float = 0.0
     load: int = 0
+    rate_limit: float | None = None
+    wait_s: float = 0.0
+    unheard: bool = False
+    refused_by_limit: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """Limit of a target as known to an ingress.
+
+    Attributes:
+        rate: Requests per second that the target accepts from all nodes.
+        known_since: When the limit was reported last, monotonic, in s.
+        free_at: When the target would probably accept a request if no other
+            ingress sent one, monotonic, in s.
+        refusals: Number of offers in succession that it refused.
+    """
+
+    rate: float
+    known_since: float
+    free_at: float
+    refusals: int = 0
+
+    @property
+    def retry_at(self) -> float:
+        """When to offer it a request again, monotonic, in s.
+
+        The more ingresses compete for its allowance, the more offers are
+        refused, and the longer each ingress waits.
+        """
+        wait_s = self.free_at - self.known_since
+        return self.known_since + wait_s * 2 ** min(
+            self.refusals, _MAX_DOUBLINGS
+        )
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -52,7 +52,7 @@
                 return picking.Choice(target)
         return None
 
-    def pick_queues(self, candidates, count, idempotent):
+    def pick_queues(self, candidates, count, idempotent, wait_s):
         return [picking.Choice(target) for target in candidates[:count]]
 
     def pick_last_resort(self, candidates, tried, idempotent=False):
--- a/tests/test_limits/test_limits_admission.py
+++ b/tests/test_limits/test_limits_admission.py
@@ -174,3 +174,44 @@
         sketch.add(cells, 8.0, 0.0)
         later = 3 * usage.HALF_LIFE_S
         self.assertAlmostEqual(1.0, sketch.usage_s(cells, later))
+
+
+class RateLimitTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.worker = _Worker()
+        self.admission = self.worker.admission
+        self.admission.rate_limiter.set_rate(1.0, 0.0)
+
+    def _request(self, max_wait_s: float | None = None):
+        now = self.worker.now
+        return self.admission.request("a", 0, now + 9.0, now, max_wait_s)
+
+    def test_request_above_the_limit_waits_or_is_refused_at_once(self):
+        self.worker.now = 0.5
+        waiting = self._request(0.6)
+        self.assertIs(admission.Decision.WAITING, waiting.decision)
+        self.assertEqual(0.5, self.admission.rate_limit_delay_s(0.5))
+        self.assertEqual(1.5, self.admission.expected_wait_s(0.5))
+        refused = self._request(1.0)
+        self.assertIs(codes.Code.TARGET_LIMITED, refused.code)
+        self.admission.grant_waiting(0.9)
+        self.assertIs(admission.Decision.WAITING, waiting.decision)
+        self.admission.grant_waiting(1.0)
+        self.assertIs(admission.Decision.GRANTED, waiting.decision)
+        self.assertEqual(1, self.admission.in_flight)
+
+    def test_hold_that_lapses_leaves_the_limit_to_the_next_request(self):
+        self.worker.now = 1.0
+        held = self._request()
+        self.assertIs(admission.Decision.GRANTED, held.decision)
+        waiting = self._request(2.0)
+        self.worker.now = 1.2
+        self.admission.release(held, 1.2, used=False)
+        self.assertIs(admission.Decision.GRANTED, waiting.decision)
+
+    def test_refusal_without_a_free_slot_is_not_blamed_on_the_limit(self):
+        self.admission.rate_limiter.set_rate(None, 0.0)
+        self.worker.fill()
+        self.admission.rate_limiter.set_rate(1.0, 0.0)
+        self.assertIs(codes.Code.QUEUE_FULL, self._request(0.0).code)
--- a/tests/test_owner/test_owner_announcements.py
+++ b/tests/test_owner/test_owner_announcements.py
@@ -60,6 +60,36 @@
             state.observe(reply, float(at))
             self.assertEqual(expected, state.rate_limit, at)
 
+    def test_limit_of_an_ingress_applies_until_the_first_response(self):
+        state = announcements.AnnouncedState("w", metrics.Metrics())
+        # Limit, age and time of the hint; limit afterwards.
+        rows = [
+            (2.0, 1.0, 10.0, 2.0),
+            (3.0, 2.0, 10.1, 2.0),
+            (4.0, 0.5, 10.2, 4.0),
+        ]
+        for limit, age_s, now, expected in rows:
+            state.adopt_rate_limit(limit, age_s, now)
+            self.assertEqual(expected, state.rate_limit, now)
+        state.observe(_reply(), 10.5)
+        state.adopt_rate_limit(5.0, 0.0, 11.0)
+        self.assertIsNone(state.rate_limit)
+        self.assertEqual(
+            ["worker limit adopted", "worker limited"] * 2
+            + ["worker limit ended"],
+            self.lines.messages,
+        )
+
+    def test_worker_that_was_started_again_announces_nothing(self):
+        state = announcements.AnnouncedState("w", metrics.Metrics())
+        reply = _reply("2")
+        reply.announcement.leaving = True
+        state.observe(reply, 2.0)
+        state.reset(3.0)
+        self.assertIsNone(state.rate_limit)
+        self.assertFalse(state.is_leaving(3.0))
+        self.assertTrue(state.unheard)
+
     def test_each_change_is_logged_once(self):
         state = announcements.AnnouncedState("w", metrics.Metrics())
         for limit in ("2", "2", "3", "x", "x", None, None):
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -243,7 +243,8 @@
     worker = fixture.owner._workers["n0-w0"]
     reply = target.TargetReply(codes.Code.ANSWERED, status=200)
     reply.announcement.leaving = True
-    worker.observe_reply(reply, fixture.owner._clock.monotonic())
+    now = fixture.owner._clock.monotonic()
+    worker.observe_reply(reply, now)
     fixture.send()
 
 
@@ -262,6 +263,16 @@
     fixture.send()
 
 
+def _target_limited(fixture: _Fixture) -> None:
+    worker = fixture.owner._workers["n0-w0"]
+    reply = target.TargetReply(codes.Code.ANSWERED, status=200)
+    reply.announcement.rate_limit = 0.1
+    now = fixture.owner._clock.monotonic()
+    worker.observe_reply(reply, now)
+    worker._rate_limiter._tokens = -100.0
+    fixture.send()
+
+
 _SCENARIOS = {
     _C.ANSWERED: _answered,
     _C.ANSWERED_BEFORE: _answered_before,
@@ -269,6 +280,7 @@
     _C.NODE_LEAVING: _node_leaving,
     _C.TARGET_LEAVING: _target_leaving,
     _C.TARGET_EJECTED: _target_ejected,
+    _C.TARGET_LIMITED: _target_limited,
     _C.NOT_OWNER: _not_owner,
     _C.WORKER_DRAINED: _worker_drained,
     _C.QUEUE_FULL: _queue_full,
--- a/tests/test_picking/test_picking_leastcost.py
+++ b/tests/test_picking/test_picking_leastcost.py
@@ -115,7 +115,7 @@
         pool = _targets(4, "a")
         for target, load in zip(pool, (7, 4, 9, 5), strict=True):
             ingress.report(target, failing_probability=0.02, load=load)
-        choices = ingress.picker.pick_queues(pool, 2, False)
+        choices = ingress.picker.pick_queues(pool, 2, False, 0.4)
         self.assertEqual(["i-1", "i-3"], [c.target.worker for c in choices])
 
     def test_first_attempt_of_idempotent_request_is_a_trial(self):
@@ -219,3 +219,78 @@
             failing = frozenset({"i-0", "i-3"})
             share = self._min_used_share("aaaa", failing, 0.3, seed)
             self.assertGreaterEqual(share, _MIN_USED_SHARE, seed)
+
+
+class RateLimitTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ingress = _Ingress("a", 1)
+        self.pool = _targets(4, "a")
+
+    def _report(self, target: targets.Target, report: views.Report) -> None:
+        now = self.ingress.time.monotonic()
+        picker = self.ingress.picker
+        token = picker.request_started(target)
+        picker.request_finished(
+            target, token, views.Feedback(now, report=report)
+        )
+
+    def _picked(self, pool: list[targets.Target]) -> set[str]:
+        picker = self.ingress.picker
+        return {picker.pick(pool, ()).target.worker for _ in range(50)}
+
+    def test_target_whose_limit_is_used_up_is_picked_last(self):
+        limited = self.pool[:2]
+        for target in limited:
+            self._report(target, views.Report(rate_limit=1.0, wait_s=0.8))
+        self.assertEqual({"i-2", "i-3"}, self._picked(self.pool))
+        self.assertEqual({"i-0", "i-1"}, self._picked(limited))
+
+    def test_limited_target_is_used_when_the_others_are_loaded(self):
+        self._report(self.pool[0], views.Report(rate_limit=1.0))
+        for load, expected in ((0, {"i-1"}), (_SLOTS, {"i-0"})):
+            self._report(self.pool[1], views.Report(load=load))
+            self.assertEqual(expected, self._picked(self.pool[:2]))
+
+    def test_request_does_not_wait_where_the_limit_admits_it_too_late(self):
+        for target, wait_s in zip(self.pool, (0.0, 0.3, 0.5), strict=False):
+            self._report(target, views.Report(rate_limit=1.0, wait_s=wait_s))
+        choices = self.ingress.picker.pick_queues(self.pool[:3], 3, False, 0.4)
+        self.assertEqual(["i-0", "i-1"], [c.target.worker for c in choices])
+
+    def test_each_refusal_for_the_limit_doubles_the_time_until_the_next_offer(
+        self,
+    ):
+        target = self.pool[0]
+        refusal = views.Report(
+            rate_limit=1.0, wait_s=0.5, refused_by_limit=True
+        )
+        admission = views.Report(rate_limit=1.0, wait_s=0.5)
+        # Report, time until the next offer, in s.
+        rows = [
+            (admission, 0.5),
+            (refusal, 1.0),
+            (refusal, 2.0),
+            (refusal, 4.0),
+            (refusal, 4.0),
+            (admission, 0.5),
+        ]
+        now = self.ingress.time.monotonic()
+        for report, delay_s in rows:
+            self._report(target, report)
+            limit = self.ingress.picker.rate_limit(target)
+            self.assertEqual(now + delay_s, limit.retry_at)
+
+    def test_owner_that_does_not_know_the_limit_does_not_end_it(self):
+        target = self.pool[0]
+        # Report, limit known afterwards.
+        rows = [
+            (views.Report(rate_limit=1.0), 1.0),
+            (views.Report(unheard=True), 1.0),
+            (views.Report(rate_limit=2.0, unheard=True), 2.0),
+            (views.Report(), None),
+        ]
+        for report, expected in rows:
+            self._report(target, report)
+            limit = self.ingress.picker.rate_limit(target)
+            self.assertEqual(expected, limit.rate if limit else None)
