Keep a leaving target out of the choice until it starts again

A target that drains says so in its responses, also before the store tells. Its owner refused further requests for it, but only the owner knew, and for 30 s after the last response: once its node was restarted, requests of other nodes that had passed on the announcement reached the target again.

Cause: the belief was kept in one process that may be restarted while the target lives on, and it ended by time or by a response that was sent before the announcement and read after it.

Owners report the announcement with each reply, and an ingress keeps the target out of the choice until its entry shows a later start, also while the entry is missing. An owner keeps it until the target starts again or answers a request that was sent later without it; the lease of 30 s is left where no store tells of a start. Announcements in refusals of the target count too, those in responses that aren't its own don't.

--- a/packages/node/src/sardinedoor_node/directory.py
+++ b/packages/node/src/sardinedoor_node/directory.py
@@ -48,3 +48,14 @@
     @abc.abstractmethod
     def refused_as_leaving(self, peer: Peer) -> None:
         """Records that a node refused an offer because it is leaving."""
+
+    def target_is_leaving(self, target: targets.Target) -> None:
+        """Records that a target has announced that it is draining.
+
+        Owners refuse new requests for such a target, so a directory that
+        ignores this only costs offers.
+
+        Args:
+            target: The target.
+        """
+        del target
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -5,6 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from sardinedoor_node import link
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import feedback
@@ -19,6 +21,7 @@
     from sardinedoor_node import picking
     from sardinedoor_node.ingress import exchanges
     from sardinedoor_node.ingress import holding
+    from sardinedoor_node.membership import targets
     from sardinedoor_node.util import clock
 
 # A frame with a larger body would delay the small messages behind it on links
@@ -115,8 +118,7 @@
         result = None
         try:
             result = await exchange.run(hold_first)
-            if result.code == codes.Code.NODE_LEAVING:
-                self._fleet.refused_as_leaving(peer)
+            self._record_departure(peer, target, result)
             return result
         finally:
             self._exchanges.close(exchange_id)
@@ -125,6 +127,21 @@
                 target, token, feedback.from_result(result, received_at)
             )
 
+    def _record_departure(
+        self,
+        peer: directory.Peer,
+        target: targets.Target,
+        result: attempt.ForwardResult,
+    ) -> None:
+        """Records that the owner or the target has said that it is leaving."""
+        if result.code == codes.Code.NODE_LEAVING:
+            self._fleet.refused_as_leaving(peer)
+        load = result.load
+        if result.code == codes.Code.TARGET_LEAVING or (
+            not isinstance(load, msgspec.UnsetType) and load.leaving
+        ):
+            self._fleet.target_is_leaving(target)
+
     def _needs_hold(self, job: attempt.Job, channel: link.Channel) -> bool:
         if job.idempotent:
             return False
--- a/packages/node/src/sardinedoor_node/membership/targets.py
+++ b/packages/node/src/sardinedoor_node/membership/targets.py
@@ -19,6 +19,7 @@
         ejected: Whether the node reports it as ejected.
         failure_domain: Failure domain of the node.
         slots: Number of requests that it runs at the same time.
+        started_ms: Unix time of its start, in ms; 0 if unknown.
     """
 
     worker: str
@@ -27,6 +28,7 @@
     ejected: bool
     failure_domain: str = ""
     slots: int = 3
+    started_ms: int = 0
 
 
 class TargetIndex:
--- a/packages/node/src/sardinedoor_node/owner/announcements.py
+++ b/packages/node/src/sardinedoor_node/owner/announcements.py
@@ -69,28 +69,41 @@
             from ingresses.
     """
 
-    def __init__(self, worker: str, counters: metrics.Metrics | None = None):
+    def __init__(
+        self,
+        worker: str,
+        counters: metrics.Metrics | None = None,
+        leaving_lease_s: float = LEAVING_LEASE_S,
+    ):
         """Starts without announcements.
 
         Args:
             worker: Name of the worker.
             counters: Counts changes; None for no counters.
+            leaving_lease_s: How long the worker counts as draining after its
+                last response that said so, in s; infinite if `reset` tells
+                that it was started again.
         """
         self._worker = worker
         self._metrics = counters
+        self._leaving_lease_s = leaving_lease_s
         self._limited_since = 0.0
+        self._leaving_since = math.inf
         self._leaving_until = -math.inf
         self._last_invalid: dict[str, str] = {}
         self._adopted_learned_at = -math.inf
         self.rate_limit: float | None = None
         self.unheard = True
 
-    def observe(self, reply: target.TargetReply, now: float) -> None:
+    def observe(
+        self, reply: target.TargetReply, sent_at: float, now: float
+    ) -> None:
         """Updates the state from a reply.
 
         Args:
             reply: Reply to a request or a probe. Replies that aren't a complete
                 response of this worker are ignored.
+            sent_at: When the request was sent, monotonic, in s.
             now: Monotonic time, in s.
         """
         if not reply.status or reply.code not in _WORKER_RESPONSES:
@@ -101,8 +114,12 @@
         else:
             self.unheard = False
             self._set_rate_limit(announcement.rate_limit, now)
-        if reply.code is codes.Code.ANSWERED:
-            self._set_leaving(announcement.leaving, now)
+        if announcement.leaving:
+            self._set_leaving(now)
+        elif sent_at > self._leaving_since:
+            # Responses to earlier requests may have been sent before it.
+            self._leaving_since = math.inf
+            self._leaving_until = -math.inf
 
     def reset(self, now: float) -> None:
         """Forgets what the worker announced before it was started again.
@@ -110,6 +127,7 @@
         Args:
             now: Monotonic time, in s.
         """
+        self._leaving_since = math.inf
         self._leaving_until = -math.inf
         self._set_rate_limit(None, now)
         # What ingresses have learned before speaks of the earlier run.
@@ -153,11 +171,11 @@
         """
         return now < self._leaving_until
 
-    def _set_leaving(self, leaving: bool, now: float) -> None:
-        was_leaving = self.is_leaving(now)
-        self._leaving_until = now + LEAVING_LEASE_S if leaving else now
-        if leaving and not was_leaving:
+    def _set_leaving(self, now: float) -> None:
+        if not self.is_leaving(now):
+            self._leaving_since = now
             self._record_change("worker is leaving", "worker_leaving", {})
+        self._leaving_until = now + self._leaving_lease_s
 
     def _set_rate_limit(self, rate_limit: float | None, now: float) -> None:
         if rate_limit == self.rate_limit:
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -358,6 +358,7 @@
         translated = self._dialect.translate_request(
             request, offer.worker, remaining_s
         )
+        sent_at = self._clock.monotonic()
         self._in_flight += 1
         self._repeated_in_flight += offer.repeats
         try:
@@ -367,7 +368,7 @@
         finally:
             self._in_flight -= 1
             self._repeated_in_flight -= offer.repeats
-        worker.observe_reply(reply, self._clock.monotonic())
+        worker.observe_reply(reply, sent_at, self._clock.monotonic())
         await self._record_run_end(
             offer.service, worker, fingerprint, reply.code
         )
--- a/packages/node/src/sardinedoor_node/owner/healthtasks.py
+++ b/packages/node/src/sardinedoor_node/owner/healthtasks.py
@@ -214,8 +214,9 @@
 
     async def _probe(self, worker: workers.LocalWorker, path: str) -> bool:
         request = wire.Request("GET", path)
+        sent_at = self._clock.monotonic()
         reply = await worker.probe(request, PROBE_TIMEOUT_S)
-        worker.observe_reply(reply, self._clock.monotonic())
+        worker.observe_reply(reply, sent_at, self._clock.monotonic())
         return reply.code == codes.Code.ANSWERED and reply.status < 500
 
     async def _run_announce(self) -> None:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -45,6 +45,7 @@
         client: owner.Client | None = None,
         max_wait_s: float = admission.MAX_WAIT_S,
         counters: metrics.Metrics | None = None,
+        leaving_lease_s: float = announcements.LEAVING_LEASE_S,
     ):
         """Starts without requests in flight.
 
@@ -54,12 +55,16 @@
             client: Sends requests to it; an HTTP client by default.
             max_wait_s: Longest time that an offer waits for a slot, in s.
             counters: Counts what it announces; None for no counters.
+            leaving_lease_s: How long it counts as draining after it last
+                announced that, in s.
         """
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
         self.drained = False
-        self.announced = announcements.AnnouncedState(name, counters)
+        self.announced = announcements.AnnouncedState(
+            name, counters, leaving_lease_s
+        )
         self._admission = admission.Admission(
             DEFAULT_SLOTS, secrets.token_bytes(_SALT_BYTES), max_wait_s
         )
@@ -90,14 +95,17 @@
         """Number of slots in use."""
         return self._admission.in_flight
 
-    def observe_reply(self, reply: target.TargetReply, now: float) -> None:
+    def observe_reply(
+        self, reply: target.TargetReply, sent_at: float, now: float
+    ) -> None:
         """Updates what the worker announces.
 
         Args:
             reply: Reply to a request or a probe.
+            sent_at: When the request was sent, monotonic, in s.
             now: Monotonic time, in s.
         """
-        self.announced.observe(reply, now)
+        self.announced.observe(reply, sent_at, now)
         self._apply_rate_limit(now)
 
     def started_again(self, now: float) -> None:
@@ -240,6 +248,7 @@
             latency_us=int(self._admission.service_time_s * 1_000_000),
             wait_ms=math.ceil(1000 * self._admission.expected_wait_s(now)),
             unheard=self.announced.unheard,
+            leaving=self.announced.is_leaving(now),
         )
         if self.announced.rate_limit is not None:
             load.rate_limit = self.announced.rate_limit
--- a/packages/node/src/sardinedoor_node/published/fleet.py
+++ b/packages/node/src/sardinedoor_node/published/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import collections
 import logging
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 # A leaving node ends within its grace period. A node that has started again
 # clears the mark by its next digest.
 LEAVING_TTL_S = 3.0
+_MAX_LEAVING_TARGETS = 1_000
 
 
 class PublishedDirectory(directory.Directory):
@@ -42,6 +44,11 @@
         self._catalog = replica
         self._clock = time
         self._leaving: dict[str, float] = {}
+        # Start times of the targets, by name. The mark of a target lasts until
+        # it starts again, also while its entry is missing.
+        self._leaving_targets: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._targets: dict[str, list[targets.Target]] = {}
         self._peers_by_domain: dict[str, tuple[list[str], list[str]]] = {}
         replica.on_change(self._targets.clear)
@@ -65,8 +72,10 @@
                     False,
                     entry.failure_domain,
                     entry.slots,
+                    entry.started_ms,
                 )
                 for entry in entries
+                if self._leaving_targets.get(entry.name) != entry.started_ms
             ]
             self._targets[service] = found
         if not self._leaving:
@@ -82,6 +91,19 @@
         """See base class."""
         self.mark_leaving(peer.name)
 
+    def target_is_leaving(self, target: targets.Target) -> None:
+        """See base class; the mark lasts until the target starts again."""
+        if self._leaving_targets.get(target.worker, -1) >= target.started_ms:
+            return
+        logger.info(
+            "target is leaving",
+            extra={"worker": target.worker, "started_ms": target.started_ms},
+        )
+        self._leaving_targets[target.worker] = target.started_ms
+        if len(self._leaving_targets) > _MAX_LEAVING_TARGETS:
+            self._leaving_targets.popitem(last=False)
+        self._targets.clear()
+
     def mark_leaving(self, name: str) -> None:
         """Excludes the targets of a node that is leaving.
 
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import random
 import secrets
 from typing import TYPE_CHECKING
@@ -61,6 +62,8 @@
 _EXIT_RESERVE_S = 0.9
 _CLOSE_TIMEOUT_S = 0.4
 _LINK_LINGER_MS = 200
+# The store tells when a worker has started again.
+_LEAVING_LEASE_S = math.inf
 # The worker never has more connections in use than slots.
 _MAX_IDLE_CONNECTIONS = 4
 # A connection that was idle for longer may have been lost unnoticed. The
@@ -198,6 +201,7 @@
                 breaker.BreakerClient(client, gate),
                 _SLOT_WAIT_S,
                 self._metrics,
+                _LEAVING_LEASE_S,
             )
             worker.gate = gate
             return worker
--- a/tests/test_owner/test_owner_announcements.py
+++ b/tests/test_owner/test_owner_announcements.py
@@ -57,7 +57,7 @@
             (_reply("-1"), None),
         ]
         for at, (reply, expected) in enumerate(rows):
-            state.observe(reply, float(at))
+            state.observe(reply, at - 0.5, float(at))
             self.assertEqual(expected, state.rate_limit, at)
 
     def test_limit_of_an_ingress_applies_until_the_first_response(self):
@@ -71,7 +71,7 @@
         for limit, age_s, now, expected in rows:
             state.adopt_rate_limit(limit, age_s, now)
             self.assertEqual(expected, state.rate_limit, now)
-        state.observe(_reply(), 10.5)
+        state.observe(_reply(), 10.0, 10.5)
         state.adopt_rate_limit(5.0, 0.0, 11.0)
         self.assertIsNone(state.rate_limit)
         self.assertEqual(
@@ -80,11 +80,28 @@
             self.lines.messages,
         )
 
+    def test_worker_leaves_until_a_later_request_is_answered_otherwise(self):
+        state = announcements.AnnouncedState("w", leaving_lease_s=float("inf"))
+        leaving = _reply(code=_C.TARGET_REFUSED, status=503)
+        leaving.announcement.leaving = True
+        # Reply, when its request was sent and when it came, state afterwards.
+        rows = [
+            (_reply(), 1.0, 1.5, False),
+            (leaving, 1.4, 2.0, True),
+            (_reply(), 1.4, 2.1, True),
+            (_reply(None, _C.REPLY_INVALID), 3.0, 3.1, True),
+            (leaving, 3.0, 3.2, True),
+            (_reply(), 500.0, 500.1, False),
+        ]
+        for reply, sent_at, now, expected in rows:
+            state.observe(reply, sent_at, now)
+            self.assertEqual(expected, state.is_leaving(now), now)
+
     def test_worker_that_was_started_again_announces_nothing(self):
         state = announcements.AnnouncedState("w", metrics.Metrics())
         reply = _reply("2")
         reply.announcement.leaving = True
-        state.observe(reply, 2.0)
+        state.observe(reply, 1.0, 2.0)
         state.reset(3.0)
         self.assertIsNone(state.rate_limit)
         self.assertFalse(state.is_leaving(3.0))
@@ -93,7 +110,7 @@
     def test_each_change_is_logged_once(self):
         state = announcements.AnnouncedState("w", metrics.Metrics())
         for limit in ("2", "2", "3", "x", "x", None, None):
-            state.observe(_reply(limit), 1.0)
+            state.observe(_reply(limit), 0.5, 1.0)
         self.assertEqual(
             [
                 "worker limited",
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -244,7 +244,7 @@
     reply = target.TargetReply(codes.Code.ANSWERED, status=200)
     reply.announcement.leaving = True
     now = fixture.owner._clock.monotonic()
-    worker.observe_reply(reply, now)
+    worker.observe_reply(reply, now, now)
     fixture.send()
 
 
@@ -268,7 +268,7 @@
     reply = target.TargetReply(codes.Code.ANSWERED, status=200)
     reply.announcement.rate_limit = 0.1
     now = fixture.owner._clock.monotonic()
-    worker.observe_reply(reply, now)
+    worker.observe_reply(reply, now, now)
     worker._rate_limiter._tokens = -100.0
     fixture.send()
 
--- a/tests/test_owner/test_owner_workers.py
+++ b/tests/test_owner/test_owner_workers.py
@@ -58,7 +58,7 @@
             (41.0, _make_reply(), False),
         ]
         for now, reply, leaving in rows:
-            self.worker.observe_reply(reply, now)
+            self.worker.observe_reply(reply, now - 0.5, now)
             self.assertEqual(
                 leaving, self.worker.announced.is_leaving(now), now
             )
