Tell a node that has started again which requests crash their targets

Owners tell each other of a crash when it happens. An owner that starts later knew nothing of it and ran the request again, so that each restart in the minute of a quarantine could cost a target.

A node now sends what it holds in quarantine when a link to a peer opens.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -189,7 +189,7 @@
     Mechanism(
         "a trial ends with its request",
         "owner/exchange.py",
-        "            self._quarantine.on_run_ended(service, fingerprint)\n",
+        "            self._quarantine.on_run_ended(fingerprint)\n",
         "            pass\n",
     ),
     Mechanism(
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -223,6 +223,7 @@
         register(wire.Reply, self._exchanges.on_message)
         register(wire.Refusal, self._exchanges.on_message)
         self._transport.on_link_change(self._exchanges.on_link_change)
+        self._transport.on_link_change(self._crash_quarantine.on_link_change)
 
     async def run(self) -> None:
         """Runs the node until its graceful shutdown has finished."""
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -353,7 +353,7 @@
         remaining_s = exchange.deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return exchange.refuse(codes.Code.DEADLINE_EXPIRED)
-        self._quarantine.on_run_started(offer.service, fingerprint, remaining_s)
+        self._quarantine.on_run_started(fingerprint, remaining_s)
         exchange.run_started = True
         translated = self._dialect.translate_request(
             request, offer.worker, remaining_s
@@ -395,7 +395,7 @@
         if connection_lost and not await worker.client.is_listening():
             self._quarantine.on_crash(service, fingerprint)
         else:
-            self._quarantine.on_run_ended(service, fingerprint)
+            self._quarantine.on_run_ended(fingerprint)
 
 
 def _to_message(
--- a/packages/node/src/sardinedoor_node/owner/quarantine.py
+++ b/packages/node/src/sardinedoor_node/owner/quarantine.py
@@ -30,12 +30,14 @@
     """A request that was running when a target crashed.
 
     Attributes:
+        service: The service of the request.
         crashes: Ids of the crashes.
         expires_at: When the suspicion expires, monotonic, in s.
         trial_ends: Latest end of the running trial, monotonic, in s; 0 for
             none.
     """
 
+    service: str
     crashes: set[bytes]
     expires_at: float
     trial_ends: float = 0.0
@@ -82,13 +84,10 @@
             return True
         return suspect.trial_ends > self._clock.monotonic()
 
-    def on_run_started(
-        self, service: str, fingerprint: bytes, remaining_s: float
-    ) -> None:
+    def on_run_started(self, fingerprint: bytes, remaining_s: float) -> None:
         """Starts the trial and notifies the other owners, if it is a suspect.
 
         Args:
-            service: The service of the request.
             fingerprint: Digest of the request.
             remaining_s: Time left until its deadline, in s.
         """
@@ -96,7 +95,7 @@
         if suspect is None:
             return
         suspect.trial_ends = self._clock.monotonic() + remaining_s
-        self._publish(service, fingerprint, suspect, int(remaining_s * 1000))
+        self._publish(fingerprint, suspect)
 
     def on_run_answered(self, service: str, fingerprint: bytes) -> None:
         """Clears a suspect that a target answered, unless it is quarantined."""
@@ -114,16 +113,18 @@
         if self._was_answered_recently(fingerprint):
             return
         new_crash_ids = {secrets.token_bytes(_CRASH_ID_BYTES)}
-        suspect = self._add_crashes(fingerprint, new_crash_ids, QUARANTINE_MS)
+        suspect = self._add_crashes(
+            service, fingerprint, new_crash_ids, QUARANTINE_MS
+        )
         suspect.trial_ends = 0.0
-        self._publish(service, fingerprint, suspect, 0)
+        self._publish(fingerprint, suspect)
 
-    def on_run_ended(self, service: str, fingerprint: bytes) -> None:
+    def on_run_ended(self, fingerprint: bytes) -> None:
         """Ends the trial of a suspect that was neither answered nor crashed."""
         suspect = self._find(fingerprint)
         if suspect is not None and suspect.trial_ends:
             suspect.trial_ends = 0.0
-            self._publish(service, fingerprint, suspect, 0)
+            self._publish(fingerprint, suspect)
 
     def on_notice(
         self, channel: link.Channel, notice: wire.CrashNotice
@@ -137,10 +138,25 @@
             return
         lapse_ms = min(notice.lapse_ms, QUARANTINE_MS)
         suspect = self._add_crashes(
-            notice.fingerprint, set(notice.crashes), lapse_ms
+            notice.service, notice.fingerprint, set(notice.crashes), lapse_ms
         )
         suspect.trial_ends = self._clock.monotonic() + notice.trial_ms / 1000
 
+    def on_link_change(self, peer: str, change: link.LinkChange) -> None:
+        """Tells a peer of all suspects, since it may have started again.
+
+        Args:
+            peer: Name of the link.
+            change: Whether the link was opened or lost.
+        """
+        del peer
+        if not change.is_open:
+            return
+        now = self._clock.monotonic()
+        for fingerprint, suspect in self._suspects.items():
+            if suspect.expires_at > now:
+                change.channel.send(self._make_notice(fingerprint, suspect))
+
     def _find(self, fingerprint: bytes) -> _Suspect | None:
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
@@ -151,12 +167,16 @@
         return suspect
 
     def _add_crashes(
-        self, fingerprint: bytes, crashes: set[bytes], lapse_ms: int
+        self,
+        service: str,
+        fingerprint: bytes,
+        crashes: set[bytes],
+        lapse_ms: int,
     ) -> _Suspect:
         expires_at = self._clock.monotonic() + lapse_ms / 1000
         suspect = self._find(fingerprint)
         if suspect is None:
-            suspect = _Suspect(set(), expires_at)
+            suspect = _Suspect(service, set(), expires_at)
             self._suspects[fingerprint] = suspect
             if len(self._suspects) > _MAX_SUSPECTS:
                 self._suspects.popitem(last=False)
@@ -180,19 +200,17 @@
             return False
         return self._clock.monotonic() - answered_at < IMMUNITY_MS / 1000
 
-    def _publish(
-        self,
-        service: str,
-        fingerprint: bytes,
-        suspect: _Suspect,
-        trial_ms: int,
-    ) -> None:
-        remaining_s = suspect.expires_at - self._clock.monotonic()
-        notice = wire.CrashNotice(
-            service,
+    def _publish(self, fingerprint: bytes, suspect: _Suspect) -> None:
+        self._notify(self._make_notice(fingerprint, suspect))
+
+    def _make_notice(
+        self, fingerprint: bytes, suspect: _Suspect
+    ) -> wire.CrashNotice:
+        now = self._clock.monotonic()
+        return wire.CrashNotice(
+            suspect.service,
             fingerprint,
-            max(0, int(remaining_s * 1000)),
+            max(0, int((suspect.expires_at - now) * 1000)),
             sorted(suspect.crashes)[:CRASH_LIMIT],
-            trial_ms,
+            max(0, int((suspect.trial_ends - now) * 1000)),
         )
-        self._notify(notice)
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -219,6 +219,7 @@
             notifier.notify, self._metrics, self._clock
         )
         self._transport.on_message(wire.CrashNotice, crash_quarantine.on_notice)
+        self._transport.on_link_change(crash_quarantine.on_link_change)
         owner = exchange.Owner(
             incarnation,
             worker_finder,
