--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -91,6 +91,13 @@
     reply: wire.Reply | None = None
     load: wire.Load | msgspec.UnsetType = msgspec.UNSET
 
+    @property
+    def wait_s(self) -> float:
+        """Time until the owner would probably accept a request, in s."""
+        if isinstance(self.load, msgspec.UnsetType):
+            return 0.0
+        return self.load.wait_ms / 1000
+
 
 class Attempt:
     """Offers a job to one owner and waits for the result."""
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -177,7 +177,9 @@
         else:
             status = codes.http_status(result.code)
             body = responses.refusal_body(result.code)
-            response_headers = responses.refusal_headers(result.code)
+            response_headers = responses.refusal_headers(
+                result.code, result.wait_s
+            )
         responses.add_result_headers(response_headers, result.code)
         response_headers[headers.REQUEST_ID] = request_id
         if result.worker:
--- a/packages/node/src/sardinedoor_node/ingress/responses.py
+++ b/packages/node/src/sardinedoor_node/ingress/responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from tornado import httputil
@@ -26,12 +27,19 @@
     return f"{int(code)} {code.name.lower()}\n".encode()
 
 
-def refusal_headers(code: codes.Code) -> httputil.HTTPHeaders:
-    """Returns a refusal's headers without Content-Length and result."""
+def refusal_headers(
+    code: codes.Code, wait_s: float = 0.0
+) -> httputil.HTTPHeaders:
+    """Returns a refusal's headers without Content-Length and result.
+
+    Args:
+        code: Why the request is refused.
+        wait_s: Time until a target would probably accept it, in s.
+    """
     fields = httputil.HTTPHeaders()
     fields["Content-Type"] = "text/plain"
     if codes.http_status(code) == 503:
-        fields["Retry-After"] = str(RETRY_AFTER_S)
+        fields["Retry-After"] = str(max(RETRY_AFTER_S, math.ceil(wait_s)))
     return fields
 
 
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -19,8 +19,6 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -253,11 +251,7 @@
             progress.ejected_count += 1
         if code in _NO_SLOT_REFUSALS:
             progress.busy[choice.target.worker] = choice.target
-            load = result.load
-            if not isinstance(load, msgspec.UnsetType):
-                progress.free_at = min(
-                    progress.free_at, now + load.wait_ms / 1000
-                )
+            progress.free_at = min(progress.free_at, now + result.wait_s)
         if code in _FREE_REFUSALS or code in _NO_SLOT_REFUSALS:
             return
         if codes.outcome(code) is codes.Outcome.NOT_RUN:
--- a/packages/standins/src/sardinedoor_standins/loopback.py
+++ b/packages/standins/src/sardinedoor_standins/loopback.py
@@ -55,7 +55,7 @@
 
 
 class RecordingForwarder:
-    """Fake forwarder that records each job and returns a canned reply."""
+    """Fake forwarder that records each job and returns a canned result."""
 
     def __init__(self) -> None:
         self.jobs: list[forward.Job] = []
@@ -63,11 +63,14 @@
         self.headers: list[wire.Header] = []
         self.body = b"whole\n"
         self.delay_s = 0.0
+        self.refusal: forward.ForwardResult | None = None
 
     async def forward(self, job: forward.Job) -> forward.ForwardResult:
-        """Records the job and returns the canned reply after `delay_s`."""
+        """Records the job and returns the canned result after `delay_s`."""
         self.jobs.append(job)
         await asyncio.sleep(self.delay_s)
+        if self.refusal is not None:
+            return self.refusal
         reply = wire.Reply(
             b"", self.status, len(self.body), b"", self.headers, self.body
         )
--- a/packages/standins/src/sardinedoor_standins/scenario/actions.py
+++ b/packages/standins/src/sardinedoor_standins/scenario/actions.py
@@ -293,6 +293,20 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class LimitTarget(scenario.Step):
+    """Makes a target announce how many requests a second it accepts."""
+
+    worker: str
+    rate_limit: int
+
+    async def run(self, fleet_bench: bench.Bench) -> None:
+        """See base class."""
+        await fleet_bench.set_behaviour(
+            self.worker, target.Behaviour(rate_limit=self.rate_limit)
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class FailService(scenario.Step):
     """Makes all requests to a service fail; health probes succeed."""
@@ -340,6 +354,7 @@
     "fails": FailRequests,
     "hangs": HangTarget,
     "slows": SlowTarget,
+    "accepts": LimitTarget,
     "all_fail": FailService,
     "recovers": RecoverTarget,
 }
--- a/packages/standins/src/sardinedoor_standins/scenario/expectations.py
+++ b/packages/standins/src/sardinedoor_standins/scenario/expectations.py
@@ -74,6 +74,31 @@
             _require(not late, f"{worker.name} got {len(late)} requests late")
 
 
+@dataclasses.dataclass(slots=True)
+class AtMostRate(scenario.Step):
+    """A target gets no more requests a second from now on, and some at all."""
+
+    worker: str
+    rate: int
+    period_s: float
+
+    async def run(self, fleet_bench: bench.Bench) -> None:
+        """See base class."""
+        begin = time.monotonic()
+        deadline = bench.Deadline(begin + self.period_s)
+        while not await deadline.has_passed():
+            pass
+        worker = fleet_bench.worker(self.worker)
+        log = await fleet_bench.fleet.runs(worker)
+        end = begin + self.period_s
+        count = sum(begin <= run.started < end for run in log)
+        _require(count > 0, f"{self.worker} got no requests")
+        _require(
+            count <= self.rate * self.period_s,
+            f"{self.worker} got {count} requests in {self.period_s:g} s",
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Drained(scenario.Step):
     """A worker gets no requests after the edit that removes it."""
@@ -322,6 +347,7 @@
 STEPS: dict[str, type[scenario.Step]] = {
     "detected": Detected,
     "quiet": NoLateWork,
+    "at_most_rate": AtMostRate,
     "drained": Drained,
     "exits": Exits,
     "dead": MemberDead,
--- a/packages/standins/src/sardinedoor_standins/target.py
+++ b/packages/standins/src/sardinedoor_standins/target.py
@@ -14,6 +14,8 @@
 from tornado import web
 import typer
 
+from sardinedoor_node.owner import dialect
+
 _CRASH_STATUS = 70
 
 
@@ -31,6 +33,8 @@
         probe_status: Status of the answers to health probes, which the other
             faults don't affect.
         cold_start_ms: Has no effect on this target.
+        rate_limit: Requests per second that it announces as its limit; None
+            for no limit. It runs further requests all the same.
     """
 
     service_ms: float = 5.0
@@ -40,6 +44,7 @@
     crash_on: str = ""
     probe_status: int = 200
     cold_start_ms: float = 0.0
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -98,6 +103,9 @@
             run.finished = time.monotonic()
             self.set_status(run.status)
             self.set_header("X-Worker", state.name)
+            if behaviour.rate_limit is not None:
+                limit = f"{behaviour.rate_limit:g}"
+                self.set_header(dialect.RATE_LIMIT_HEADER, limit)
             echo = self.request.headers.get("X-Request-Id", "")
             self.set_header("X-Request-Id", echo)
             self.finish(f"{state.name} {self.request.uri} {echo}\n")
--- a/tests/test_ingress/test_ingress_retryafter.py
+++ b/tests/test_ingress/test_ingress_retryafter.py
@@ -2,12 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 
 import testtools
 
+from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import retryafter
+from sardinedoor_schema import codes
+from sardinedoor_schema.generated import wire
+from sardinedoor_standins import loopback
+
+_SETTINGS = """
+[team]
+name = t
+[service permits]
+workers = permits-0
+[route permits]
+path = /p
+service = permits
+visibility = public
+timeout_ms = 5000
+"""
 
 
 class RetryDelaysTest(testtools.TestCase):
@@ -26,3 +43,21 @@
             self.assertGreaterEqual(min(found), shortest - 1e-9, free_at)
             self.assertLessEqual(max(found), longest + 1e-9, free_at)
             self.assertGreater(max(found) - min(found), 0.25, free_at)
+
+
+class RefusalHeaderTest(testtools.TestCase):
+    def test_refusal_names_whole_seconds_until_a_target_is_free(self):
+        # Expected wait as the owner reported it, header.
+        rows = [(None, "1"), (0, "1"), (400, "1"), (1001, "2"), (3000, "3")]
+
+        async def case(ingress: loopback.LoopbackIngress) -> None:
+            for wait_ms, expected in rows:
+                refusal = forward.ForwardResult(codes.Code.TARGET_LIMITED)
+                if wait_ms is not None:
+                    refusal.load = wire.Load(wait_ms=wait_ms)
+                ingress.forwarder.refusal = refusal
+                response = await ingress.send(loopback.get())
+                self.assertEqual(503, response.status)
+                self.assertEqual(expected, response.get("retry-after"))
+
+        asyncio.run(loopback.run_case(_SETTINGS, case))
