--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -1,4 +1,4 @@
-"""Mutation testing of the mechanisms that `mechanisms.py` lists.
+"""Mutation testing of the mechanisms that the package `mechanisms` lists.
 
 Each mutant is a temporary copy of the node's source in which one mechanism is
 disabled by replacing one piece of text. The fault grid or the tests must detect
@@ -18,6 +18,7 @@
 from typing import Annotated
 
 import mechanisms
+from mechanisms import mechanism
 import typer
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -44,14 +45,14 @@
     failed_tests: list[str]
 
 
-def run_mutant(mechanism: mechanisms.Mechanism, seeds: int) -> Result:
+def run_mutant(mutation: mechanism.Mechanism, seeds: int) -> Result:
     """Runs the mechanism's tests on a source in which it is disabled.
 
     A mechanism without tests of its own is tested by the fault grid and the
     tests of exchanges.
 
     Args:
-        mechanism: The mechanism to disable.
+        mutation: The mechanism to disable.
         seeds: Number of fault schedules.
 
     Returns:
@@ -62,15 +63,15 @@
         shutil.copytree(
             mechanisms.SOURCE_FOLDER / mechanisms.PACKAGE_NAME, copy
         )
-        path = copy / mechanism.file
+        path = copy / mutation.file
         text = path.read_text()
-        path.write_text(text.replace(mechanism.old, mechanism.new))
+        path.write_text(text.replace(mutation.old, mutation.new))
         grid_output = ""
-        if not mechanism.tests:
+        if not mutation.tests:
             grid_output = _run_python(
                 folder, [str(_GRID_PROGRAM), f"--seeds={seeds}"]
             )
-        test_files = [_ROOT / t for t in mechanism.tests] or _EXCHANGE_TESTS
+        test_files = [_ROOT / t for t in mutation.tests] or _EXCHANGE_TESTS
         test_output = _run_python(
             folder, ["-m", "pytest", *map(str, test_files)]
         )
@@ -116,13 +117,13 @@
     if missing:
         raise typer.Exit(2)
     survivors = 0
-    for mechanism in mechanisms.MECHANISMS:
-        if only not in mechanism.file:
+    for mutation in mechanisms.MECHANISMS:
+        if only not in mutation.file:
             continue
-        result = run_mutant(mechanism, seeds)
+        result = run_mutant(mutation, seeds)
         survivors += not result.broken_seeds and not result.failed_tests
         print(
-            f"{mechanism.name}: {len(result.broken_seeds)} schedules, first"
+            f"{mutation.name}: {len(result.broken_seeds)} schedules, first"
             f" {min(result.broken_seeds, default=None)};"
             f" tests {result.failed_tests}",
             flush=True,
