Count a route as called by the worker until shown otherwise

Cause, from the new field `nested` of the request log: requests that workers make of their own add nothing to the retry budget, and are charged to it if their run was a repeat. A node took a route for a called one only after 12 requests, which it gets in 17 s; and requests that arrived while the worker seemed idle spoke against it, though the worker still ran a request whose caller had left or whose time was up.

A route now counts as called until a request arrives on it while the worker is idle, and a worker may be running for 1 s after a run that ended without a response. The test of first calls fails on the code before.

--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -131,6 +131,7 @@
     ) -> attempt.ForwardResult:
         route = request.route
         job = self._build_job(request, route, progress.started_at)
+        progress.nested = job.nested
         task = asyncio.get_running_loop().create_task(
             self._forwarder.forward(job, progress)
         )
@@ -248,6 +249,7 @@
                 "code": int(result.code),
                 "status": result.reply.status if result.reply else 0,
                 "took_ms": round(1000 * duration_s),
+                "nested": progress.nested,
                 "steps": [
                     dataclasses.astuple(record)
                     for record in progress.offer_records
--- a/packages/node/src/sardinedoor_node/ingress/nesting.py
+++ b/packages/node/src/sardinedoor_node/ingress/nesting.py
@@ -13,8 +13,6 @@
 # smaller share of its calls than this arrives then; workers are idle for a
 # larger share of the time.
 _IDLE_SHARE = 0.04
-# With fewer arrivals the share isn't significant.
-_MIN_ARRIVALS = 12
 
 
 class NestedCallDetector:
@@ -24,16 +22,18 @@
     come from the same address and look alike. The node sees each request that
     its worker runs, and a worker makes calls only while it runs one: a route
     on which requests also arrive while the worker is idle is used by callers.
+    Until one has arrived so, the requests of a route count as calls, which add
+    nothing to the retry budget.
     """
 
-    def __init__(self, count_running: Callable[[], int]):
+    def __init__(self, may_be_running: Callable[[], bool]):
         """Starts without any arrivals.
 
         Args:
-            count_running: Returns the number of requests that the node's
-                worker is running.
+            may_be_running: Returns whether the node's worker may be running a
+                request.
         """
-        self._count_running = count_running
+        self._may_be_running = may_be_running
         self._arrivals: collections.Counter[str] = collections.Counter()
         self._idle_arrivals: collections.Counter[str] = collections.Counter()
 
@@ -47,9 +47,10 @@
             Whether the node's worker may have made it.
         """
         self._arrivals[route] += 1
-        if not self._count_running():
+        if not self._may_be_running():
             self._idle_arrivals[route] += 1
-        arrivals = self._arrivals[route]
-        if arrivals < _MIN_ARRIVALS:
-            return False
-        return self._idle_arrivals[route] < _IDLE_SHARE * arrivals
+        idle_arrivals = self._idle_arrivals[route]
+        return (
+            idle_arrivals == 0
+            or idle_arrivals < _IDLE_SHARE * self._arrivals[route]
+        )
--- a/packages/node/src/sardinedoor_node/ingress/requestprogress.py
+++ b/packages/node/src/sardinedoor_node/ingress/requestprogress.py
@@ -50,6 +50,7 @@
             target.
         free_at: When one of the busy owners would probably take a further
             request, monotonic, in s; infinite if none told.
+        nested: Whether it counts as a call of the node's own worker.
         link_was_down: Whether an owner's link wasn't open.
         waited: Whether it was offered to owners' queues.
         last_resorts: Names of the workers tried though probably failing.
@@ -73,6 +74,7 @@
     failure: attempt.ForwardResult | None = None
     ejected_count: int = 0
     free_at: float = math.inf
+    nested: bool = False
     link_was_down: bool = False
     waited: bool = False
     last_resorts: set[str] = dataclasses.field(default_factory=set)
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -33,6 +34,8 @@
 logger = logging.getLogger(__name__)
 
 _ReplyOrRefusal = wire.Reply | wire.Refusal
+# A worker may go on with a run for this long after its connection was closed.
+_ABANDONED_RUN_S = 1.0
 
 
 class Exchange:
@@ -142,6 +145,7 @@
                 key_placement, ledger.Ledger(time), time
             )
         self._in_flight = 0
+        self._abandoned_at = -math.inf
         self._repeated_in_flight = 0
         self.leaving = False
 
@@ -150,6 +154,16 @@
         """Number of requests in flight at the node's workers."""
         return self._in_flight
 
+    def may_be_running(self) -> bool:
+        """Returns whether a worker may be running a request.
+
+        A run that ended without a response may go on at the worker for a while.
+        """
+        if self._in_flight:
+            return True
+        abandoned_s = self._clock.monotonic() - self._abandoned_at
+        return abandoned_s < _ABANDONED_RUN_S
+
     @property
     def repeated_in_flight(self) -> int:
         """Number of requests in flight that repeat an earlier run.
@@ -361,11 +375,14 @@
         sent_at = self._clock.monotonic()
         self._in_flight += 1
         self._repeated_in_flight += offer.repeats
+        reply = None
         try:
             reply = await worker.client.run(
                 translated, offer.idempotent, remaining_s
             )
         finally:
+            if reply is None or not reply.status:
+                self._abandoned_at = self._clock.monotonic()
             self._in_flight -= 1
             self._repeated_in_flight -= offer.repeats
         worker.observe_reply(reply, sent_at, self._clock.monotonic())
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -284,7 +284,7 @@
             self._clock,
             self._rng,
             _MAX_CONNECTIONS,
-            nesting.NestedCallDetector(lambda: self._owner.in_flight),
+            nesting.NestedCallDetector(self._owner.may_be_running),
         )
 
     def _count_nodes(self) -> int:
--- a/tests/test_ingress/test_ingress_nesting.py
+++ b/tests/test_ingress/test_ingress_nesting.py
@@ -11,7 +11,7 @@
     def setUp(self):
         super().setUp()
         self.running = 0
-        self.detector = nesting.NestedCallDetector(lambda: self.running)
+        self.detector = nesting.NestedCallDetector(lambda: self.running > 0)
 
     def _arrive(self, route: str, times: int) -> bool:
         return [self.detector.record_arrival(route) for _ in range(times)][-1]
@@ -28,6 +28,10 @@
         self.running = 1
         self.assertTrue(self._arrive("registry", 20))
 
+    def test_first_calls_of_a_worker_are_nested(self):
+        self.running = 1
+        self.assertTrue(self._arrive("registry", 1))
+
     def test_one_late_call_of_a_worker_does_not_hide_a_nested_route(self):
         self._arrive("registry", 1)
         self.running = 1
