--- a/packages/node/src/sardinedoor_node/ingress/nesting.py
+++ b/packages/node/src/sardinedoor_node/ingress/nesting.py
@@ -49,8 +49,5 @@
         self._arrivals[route] += 1
         if not self._may_be_running():
             self._idle_arrivals[route] += 1
-        idle_arrivals = self._idle_arrivals[route]
-        return (
-            idle_arrivals == 0
-            or idle_arrivals < _IDLE_SHARE * self._arrivals[route]
-        )
+        arrivals = self._arrivals[route]
+        return self._idle_arrivals[route] < _IDLE_SHARE * arrivals
