Part the state of an exchange from the owner; ignore senseless departures wholly

A report to the picker is built by field names.

A response with a value that makes no sense in one announcement neither sets nor ends another one; before, it could end a departure. The added row of the test fails without the change.

--- a/bench/mechanisms/announced.py
+++ b/bench/mechanisms/announced.py
@@ -62,8 +62,8 @@
     mechanism.Mechanism(
         "a response to an earlier request doesn't end a departure",
         "owner/announcements.py",
-        "elif sent_at > self._leaving_since:",
-        "else:",
+        "elif sent_at > self._leaving_since and not announcement.invalid:",
+        "elif not announcement.invalid:",
         _DEPARTURE_TESTS,
     ),
     mechanism.Mechanism(
--- a/bench/mechanisms/routing.py
+++ b/bench/mechanisms/routing.py
@@ -46,7 +46,7 @@
     ),
     mechanism.Mechanism(
         "an offer that waits for a slot can be withdrawn",
-        "owner/exchange.py",
+        "owner/openexchange.py",
         "return not self.run_started and not self.offer.key",
         "return False",
         (*_ROUTING_TESTS, "tests/test_owner/test_owner_exchange.py"),
--- a/packages/node/src/sardinedoor_node/ingress/feedback.py
+++ b/packages/node/src/sardinedoor_node/ingress/feedback.py
@@ -31,15 +31,14 @@
     load = result.load
     if not isinstance(load, msgspec.UnsetType):
         feedback.report = views.Report(
-            load.ejected,
-            load.weight_percent / 100,
-            load.trial_ms / 1000,
-            load.in_flight + load.queued,
-            None
-            if isinstance(load.rate_limit, msgspec.UnsetType)
-            else load.rate_limit,
-            load.wait_ms / 1000,
-            load.unheard,
-            result.code == codes.Code.TARGET_LIMITED,
+            ejected=load.ejected,
+            weight=load.weight_percent / 100,
+            trial_delay_s=load.trial_ms / 1000,
+            load=load.in_flight + load.queued,
+            wait_s=result.wait_s,
+            unheard=load.unheard,
+            refused_by_limit=result.code == codes.Code.TARGET_LIMITED,
         )
+        if not isinstance(load.rate_limit, msgspec.UnsetType):
+            feedback.report.rate_limit = load.rate_limit
     return feedback
--- a/packages/node/src/sardinedoor_node/owner/announcements.py
+++ b/packages/node/src/sardinedoor_node/owner/announcements.py
@@ -116,7 +116,7 @@
             self._set_rate_limit(announcement.rate_limit, now)
         if announcement.leaving:
             self._set_leaving(now)
-        elif sent_at > self._leaving_since:
+        elif sent_at > self._leaving_since and not announcement.invalid:
             # Responses to earlier requests may have been sent before it.
             self._leaving_since = math.inf
             self._leaving_until = -math.inf
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
 from typing import TYPE_CHECKING
@@ -16,6 +15,7 @@
 from sardinedoor_node.owner import keyed
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.owner import offerids
+from sardinedoor_node.owner import openexchange
 from sardinedoor_node.util import digests
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import codes
@@ -38,64 +38,6 @@
 _ABANDONED_RUN_S = 1.0
 
 
-class Exchange:
-    """An offer and the state of its execution.
-
-    Attributes:
-        channel: Link on which the reply or refusal is sent.
-        offer: The offer.
-        deadline: When the offer expires, by the owner's monotonic clock, in s.
-        ticket: Ticket that the `Go` named; empty before.
-        run_started: Whether the request may have been sent to the worker.
-        task: Task that runs the exchange, once it is started.
-    """
-
-    def __init__(
-        self, channel: link.Channel, offer: wire.Offer, deadline: float
-    ):
-        """Opens the exchange; its request has not been sent to the worker.
-
-        Args:
-            channel: Link on which the reply or refusal is sent.
-            offer: The offer.
-            deadline: When the offer expires, by the owner's monotonic clock,
-                in s.
-        """
-        self.channel = channel
-        self.offer = offer
-        self.deadline = deadline
-        self.ticket = b""
-        self.run_started = False
-        self.task: asyncio.Task | None = None
-
-    @property
-    def can_be_cancelled(self) -> bool:
-        """Whether its task may be cancelled.
-
-        A run that isn't idempotent ends with its outcome, and an idempotency
-        key stays recorded until its request has ended.
-        """
-        if self.offer.idempotent:
-            return True
-        return not self.run_started and not self.offer.key
-
-    def refuse(
-        self,
-        code: codes.Code,
-        load: wire.Load | msgspec.UnsetType = msgspec.UNSET,
-    ) -> wire.Refusal:
-        """Returns a refusal of the offer.
-
-        After a `Go` the refusal carries its ticket, so that the ingress can
-        tell it from a refusal that answers a duplicate of the offer.
-
-        Args:
-            code: Why the offer is refused.
-            load: Load report of the worker, if there is one.
-        """
-        return wire.Refusal(self.offer.id, code, self.ticket, load)
-
-
 class Owner:
     """Runs the exchanges for offers to the node's own workers.
 
@@ -129,7 +71,7 @@
                 plain HTTP by default.
         """
         self._dialect = target_dialect or dialect.PlainDialect()
-        self._exchanges: dict[bytes, Exchange] = {}
+        self._exchanges: dict[bytes, openexchange.Exchange] = {}
         self._finished = finished.FinishedExchanges(time)
         self._incarnation = incarnation
         self._workers = local
@@ -188,7 +130,7 @@
             channel.send(wire.Refusal(offer.id, codes.Code.LINK_LOST))
             return
         deadline = self._clock.monotonic() + offer.remaining_ms / 1000
-        exchange = Exchange(channel, offer, deadline)
+        exchange = openexchange.Exchange(channel, offer, deadline)
         exchange.task = self._tasks.spawn(self._handle(exchange), "exchange")
         self._exchanges[offer.id] = exchange
         exchange.task.add_done_callback(
@@ -248,7 +190,7 @@
         self._metrics.event("exchange_resumed")
         channel.send(message)
 
-    async def _handle(self, exchange: Exchange) -> None:
+    async def _handle(self, exchange: openexchange.Exchange) -> None:
         try:
             message = await self._process(exchange)
         except Exception:
@@ -260,7 +202,9 @@
         self._finished.add(exchange.offer.id, message)
         exchange.channel.send(message)
 
-    async def _process(self, exchange: Exchange) -> _ReplyOrRefusal:
+    async def _process(
+        self, exchange: openexchange.Exchange
+    ) -> _ReplyOrRefusal:
         offer = exchange.offer
         worker = self._workers.get(offer.worker)
         if self.leaving:
@@ -285,7 +229,7 @@
         return await self._reserve_and_run(exchange, worker)
 
     async def _reserve_and_run(
-        self, exchange: Exchange, worker: workers.LocalWorker
+        self, exchange: openexchange.Exchange, worker: workers.LocalWorker
     ) -> _ReplyOrRefusal:
         if worker.drained:
             return self._refuse(exchange, worker, codes.Code.WORKER_DRAINED)
@@ -308,7 +252,10 @@
             worker.release_slot(waiter, self._clock, exchange.run_started)
 
     def _refuse(
-        self, exchange: Exchange, worker: workers.LocalWorker, code: codes.Code
+        self,
+        exchange: openexchange.Exchange,
+        worker: workers.LocalWorker,
+        code: codes.Code,
     ) -> wire.Refusal:
         """Returns a refusal with the load of the worker."""
         return exchange.refuse(code, worker.load(self._clock.monotonic()))
@@ -324,7 +271,7 @@
             )
 
     async def _hold_slot(
-        self, exchange: Exchange
+        self, exchange: openexchange.Exchange
     ) -> result.Result[wire.Request, codes.Code]:
         hold = self._holds.open(exchange.offer.id)
         used = False
@@ -352,7 +299,7 @@
 
     async def _run_request(
         self,
-        exchange: Exchange,
+        exchange: openexchange.Exchange,
         worker: workers.LocalWorker,
         request: wire.Request,
     ) -> _ReplyOrRefusal:
--- a/packages/node/src/sardinedoor_node/owner/keyed.py
+++ b/packages/node/src/sardinedoor_node/owner/keyed.py
@@ -12,7 +12,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from sardinedoor_node.owner import exchange
+    from sardinedoor_node.owner import openexchange
     from sardinedoor_node.owner import placement
     from sardinedoor_node.owner import workers
     from sardinedoor_node.util import clock
@@ -42,7 +42,7 @@
 
     async def serve(
         self,
-        open_exchange: exchange.Exchange,
+        open_exchange: openexchange.Exchange,
         worker: workers.LocalWorker,
         run: Run,
     ) -> wire.Reply | wire.Refusal:
@@ -90,7 +90,10 @@
         return self._ledger.refusal_code(time_ms, home_since_ms)
 
     async def _run_and_record(
-        self, open_exchange: exchange.Exchange, entry: ledger.Entry, run: Run
+        self,
+        open_exchange: openexchange.Exchange,
+        entry: ledger.Entry,
+        run: Run,
     ) -> wire.Reply | wire.Refusal:
         message = open_exchange.refuse(codes.Code.INTERNAL_ERROR_AFTER_RUN)
         try:
--- a/tests/test_owner/test_owner_announcements.py
+++ b/tests/test_owner/test_owner_announcements.py
@@ -90,6 +90,7 @@
             (leaving, 1.4, 2.0, True),
             (_reply(), 1.4, 2.1, True),
             (_reply(None, _C.REPLY_INVALID), 3.0, 3.1, True),
+            (_reply("much"), 3.0, 3.15, True),
             (leaving, 3.0, 3.2, True),
             (_reply(), 500.0, 500.1, False),
         ]
