--- a/review/1/play.py
+++ b/review/1/play.py
@@ -82,7 +82,7 @@
         deployment.store.put(
             "op/config", platform.configuration(3, [_SERVICE], rules)
         )
-        deployment.publish_workers()
+        await deployment.publish_workers()
         if not await deployment.wait_until_in():
             return COULD_NOT_RUN
         await asyncio.sleep(2.0)
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -19,6 +19,8 @@
 GRACE_S = 6.0
 ZONE = "zone-a"
 _READY_POLL_S = 1.0
+_HEARTBEAT_MS = 1500
+_COLD_MS = 3000
 _PORTS = (20_000, 30_000)
 _NETWORK = "127.0.2"
 _MAX_MACHINES = 16
@@ -172,7 +174,7 @@
             "Platform": {
                 "Discovery": "platform",
                 "Entry": "local",
-                "Heartbeat": "1500ms",
+                "Heartbeat": f"{_HEARTBEAT_MS}ms",
                 "Platform": {
                     "Address": self._store_address,
                     "form": "read",
@@ -369,11 +371,19 @@
             await machine.start()
             self._tasks.append(asyncio.create_task(machine.poll_readiness()))
 
-    def publish_workers(self) -> None:
-        """Writes the entries of all workers."""
-        for machine in self.machines:
-            own = machine.worker
-            self.store.put(f"servers/{own.name}", own.entry())
+    async def publish_workers(self) -> None:
+        """Writes the entries of all workers, which have just started.
+
+        An entry changes with each heartbeat until its worker is warm.
+        """
+        for cold_left_ms in range(_COLD_MS, -1, -_HEARTBEAT_MS):
+            for machine in self.machines:
+                own = machine.worker
+                self.store.put(
+                    f"servers/{own.name}", own.entry("ready", cold_left_ms)
+                )
+            if cold_left_ms:
+                await asyncio.sleep(_HEARTBEAT_MS / 1000)
 
     async def wait_until_in(self, timeout_s: float = 20.0) -> bool:
         """Waits until all machines are in; returns False if they aren't."""
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -47,8 +47,13 @@
         self._running = 0
         self._server: asyncio.Server | None = None
 
-    def entry(self, state: str = "ready") -> dict:
-        """Returns the entry that it publishes in the store."""
+    def entry(self, state: str = "ready", cold_left_ms: int = 0) -> dict:
+        """Returns the entry that it publishes in the store.
+
+        Args:
+            state: `ready` or `draining`.
+            cold_left_ms: How much longer it is slow after its start, in ms.
+        """
         return {
             "Address": self.address,
             "Info": {
@@ -57,7 +62,11 @@
                 "Zone": self._zone,
                 "Slots": self._slots,
             },
-            "Status": {"State": state, "Seq": 1, "ColdLeft": "0ms"},
+            "Status": {
+                "State": state,
+                "Seq": 1,
+                "ColdLeft": f"{cold_left_ms}ms",
+            },
             "born": self.started_ms,
         }
 
