--- a/review/1/play.py
+++ b/review/1/play.py
@@ -23,6 +23,8 @@
 # The entry is written long before the stop: twice `StableWindow` and more.
 _BEFORE_STOP_S = 8.0
 _AFTER_STOP_S = 8.0
+# Less than the deadline of the requests and the timeout of their route.
+_TIME_LIMIT_S = 1.9
 # "fields missing or of another type, a state or service that isn't named here"
 _FOREIGN_ENTRY = {
     "Address": "http://127.0.9.9:8080",
@@ -59,16 +61,18 @@
     """Returns the requests that a planned stop cut while they ran.
 
     They were read by the stopped machine and passed on to a worker, and their
-    connection ended without an answer. No worker broke off, and the deadlines
-    weren't reached.
+    connection ended without an answer. No worker broke off, and neither the
+    deadline nor the timeout of the route was reached.
     """
     ran = {event["attempt"] for event in events.of("run")}
+    sent_s = {event["attempt"]: event["at_s"] for event in events.of("sent")}
     return [
         end["attempt"]
         for end in events.of("answered")
         if end["node"] == machine.outbound
         and end["status"] == 0
         and end["attempt"] in ran
+        and end["at_s"] - sent_s[end["attempt"]] < _TIME_LIMIT_S
     ]
 
 
