--- a/review/standins/platform.py
+++ b/review/1/standins/platform.py
@@ -24,7 +24,7 @@
 _PORTS = (20_000, 30_000)
 _NETWORK = "127.0.2"
 _MAX_MACHINES = 16
-_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_ROOT = pathlib.Path(__file__).resolve().parents[3]
 _KEPT_VARIABLES = ("PATH", "HOME", "JAVA_HOME", "LANG")
 # Bounds of the site file, as the settings spell them.
 _BOUNDS = {
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -10,7 +10,7 @@
 import time
 
 _HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(_HERE.parent))
+sys.path.insert(0, str(_HERE.parent / "1"))
 
 from standins import client  # noqa: E402
 from standins import platform  # noqa: E402
