Open no link to an address that ZeroMQ refuses, and survive one

Cause: the decoder took any text before the last colon of a published address as a host. The directory derives a peer's link address from it, ZeroMQ raises for it, and the exception ended whatever sent to that peer: the drain and with it the process, the gossip, the reading of the store.

Evidence: with the nodes' logs kept, the case on the code before shows "task failed" for the follower and the gossip when the entry is written, and "can't listen" with the entry's address 5 ms after "draining". An early or a late end of the drain would have logged "drained" or "drain limit reached".

A socket whose connect failed is closed.

--- a/packages/node/src/sardinedoor_node/link/__init__.py
+++ b/packages/node/src/sardinedoor_node/link/__init__.py
@@ -43,6 +43,20 @@
         return True
 
 
+class ClosedChannel(Channel):
+    """Channel to a peer that no link could be opened to; sends nothing."""
+
+    def send(self, message: base.Message) -> bool:
+        """See base class."""
+        del message
+        return False
+
+    async def ready(self, timeout_s: float) -> bool:
+        """See base class."""
+        del timeout_s
+        return False
+
+
 Receiver = Callable[[Channel, "base.Message"], None]
 
 
@@ -70,6 +84,8 @@
     def connect(self, name: str, address: str) -> Channel:
         """Returns the channel to a peer, opening it if needed.
 
+        It is a `ClosedChannel` if no link to this address can be opened.
+
         Args:
             name: Name of the peer.
             address: IP number and port of the peer's link listener.
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -215,15 +215,14 @@
             key_number = (peer.key_number + 1) % len(self._keys.accepted)
         if peer is not None:
             self.disconnect(name)
-        dealer = self._context.socket(zmq.DEALER)
-        _configure(dealer)
-        if heartbeat:
-            _configure_heartbeat(dealer, self._heartbeat_ms)
-        dealer.setsockopt(zmq.IMMEDIATE, 1)
-        if self._keys is not None:
-            key = self._keys.accepted[key_number]
-            self._keys.secure_client(dealer, key)
-        dealer.connect(f"tcp://{self._source_prefix}{address}")
+        try:
+            dealer = self._make_dealer(address, key_number, heartbeat)
+        except zmq.ZMQError as e:
+            self._metrics.event("link_not_opened")
+            logger.warning(
+                "link not opened", extra={"peer": name, "reason": str(e)}
+            )
+            return link.ClosedChannel()
         channel = DealerChannel(
             dealer, functools.partial(self._on_link_change, name)
         )
@@ -231,6 +230,30 @@
         self._peers[name] = _Peer(address, channel, task, key_number)
         return channel
 
+    def _make_dealer(
+        self, address: str, key_number: int, heartbeat: bool
+    ) -> zmq.Socket:
+        """Opens a socket that connects to a peer.
+
+        Raises:
+            zmq.ZMQError: ZeroMQ can't parse the address, or has too many
+                sockets.
+        """
+        dealer = self._context.socket(zmq.DEALER)
+        try:
+            _configure(dealer)
+            if heartbeat:
+                _configure_heartbeat(dealer, self._heartbeat_ms)
+            dealer.setsockopt(zmq.IMMEDIATE, 1)
+            if self._keys is not None:
+                key = self._keys.accepted[key_number]
+                self._keys.secure_client(dealer, key)
+            dealer.connect(f"tcp://{self._source_prefix}{address}")
+        except zmq.ZMQError:
+            dealer.close()
+            raise
+        return dealer
+
     def _should_try_next_key(self, peer: _Peer) -> bool:
         """Returns whether a link probably fails because of the peer's key.
 
--- a/packages/node/src/sardinedoor_node/settings/addresses.py
+++ b/packages/node/src/sardinedoor_node/settings/addresses.py
@@ -6,6 +6,7 @@
 import ipaddress
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.util import addresses
 from sardinedoor_schema import allowed
 from sardinedoor_schema import faults
 
@@ -14,7 +15,6 @@
 
     from sardinedoor_schema import ini
 
-_MAX_PORT = 65535
 _LISTENERS = ("public", "internal", "link", "admin")
 
 
@@ -27,31 +27,6 @@
     text: str
 
 
-def split(text: str) -> tuple[str, int] | None:
-    """Splits an address into host and port.
-
-    Args:
-        text: IP address and port; an IPv6 address is in brackets.
-
-    Returns:
-        The IP address without brackets and the port, or None if the text
-        isn't an IP address with a port from 1 to 65535.
-    """
-    host, colon, port = text.rpartition(":")
-    bare = host.removeprefix("[").removesuffix("]")
-    if not colon or not (port.isascii() and port.isdigit()):
-        return None
-    if not 1 <= int(port) <= _MAX_PORT:
-        return None
-    try:
-        number = ipaddress.ip_address(bare)
-    except ValueError:
-        return None
-    if (number.version == 6) != host.startswith("["):
-        return None
-    return bare, int(port)
-
-
 def check(reader: ini.Reader) -> None:
     """Adds a fault for each invalid, duplicate or exposed address.
 
@@ -63,7 +38,7 @@
     for setting in _address_settings(reader):
         if (setting.section, setting.key) in faulty:
             continue
-        address = split(setting.text)
+        address = addresses.split(setting.text)
         if address is None:
             reader.fault(
                 setting.section,
@@ -112,7 +87,7 @@
 
 def _check_admin(reader: ini.Reader) -> None:
     text = reader.value("node", "admin")
-    address = split(text)
+    address = addresses.split(text)
     if address is None or reader.value("node", "admin_public") == "true":
         return
     if not ipaddress.ip_address(address[0]).is_loopback:
