Call all listeners of an event, even if one of them raises

The digests' listener raised, so the one that builds the routes was never called; the exception also ended the task that reads the store.

The loops are one class now. Each listener is called; a failure is logged with the names of event and listener, and counted as `listener_failed`.

--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -79,8 +79,8 @@
                 for name, worker in file.workers.items()
             ],
         )
-        self._store = store.SettingsStore()
-        self._members = table.MemberTable(self._own, self._clock)
+        self._store = store.SettingsStore(self._metrics)
+        self._members = table.MemberTable(self._own, self._clock, self._metrics)
         self._transport = zeromq.ZeromqTransport(
             file.node.name, self._metrics, curve.from_settings(file.node)
         )
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -15,6 +15,7 @@
 from sardinedoor_node.link import curve
 from sardinedoor_node.link import dispatch
 from sardinedoor_node.link import local
+from sardinedoor_node.util import listeners
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import frames
 
@@ -137,18 +138,17 @@
         self._tasks = tasks.TaskGroup()
         self._router: asyncsocket.AsyncSocket | None = None
         self._source_prefix = ""
-        self._link_listeners: list[link.LinkListener] = []
+        self._link_listeners = listeners.ListenerGroup("link changed", counters)
 
     def on_link_change(self, listener: link.LinkListener) -> None:
         """See base class."""
-        self._link_listeners.append(listener)
+        self._link_listeners.add(listener)
 
     def _on_link_change(self, name: str, change: link.LinkChange) -> None:
         peer = self._peers.get(name)
         if peer is None or peer.channel is not change.channel:
             return
-        for listener in self._link_listeners:
-            listener(name, change)
+        self._link_listeners.notify(name, change)
 
     def on_message(
         self, cls: type[base.Message], receiver: link.Receiver
--- a/packages/node/src/sardinedoor_node/membership/pauses.py
+++ b/packages/node/src/sardinedoor_node/membership/pauses.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.util import listeners
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -26,7 +28,7 @@
         self._clock = time
         self._max_pause_s = max_pause_s
         self._checked_at = time.monotonic()
-        self._listeners: list[Callable[[float], None]] = []
+        self._listeners = listeners.ListenerGroup("pause detected")
 
     def on_pause(self, listener: Callable[[float], None]) -> None:
         """Registers a listener.
@@ -34,7 +36,7 @@
         Args:
             listener: Called with the length of each pause, in s.
         """
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def check(self) -> bool:
         """Measures the time since the last check.
@@ -47,6 +49,5 @@
         self._checked_at = now
         if pause_s <= self._max_pause_s:
             return False
-        for listener in self._listeners:
-            listener(pause_s)
+        self._listeners.notify(pause_s)
         return True
--- a/packages/node/src/sardinedoor_node/membership/table.py
+++ b/packages/node/src/sardinedoor_node/membership/table.py
@@ -16,10 +16,12 @@
 from sardinedoor_node.membership import records
 from sardinedoor_node.membership import targets
 from sardinedoor_node.util import clock
+from sardinedoor_node.util import listeners
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sardinedoor_node import metrics
     from sardinedoor_schema.generated import platform
     from sardinedoor_schema.generated import wire
 
@@ -49,12 +51,18 @@
             or dead.
     """
 
-    def __init__(self, own: wire.Member, time: clock.Clock | None = None):
+    def __init__(
+        self,
+        own: wire.Member,
+        time: clock.Clock | None = None,
+        counters: metrics.Metrics | None = None,
+    ):
         """Creates a table with the node itself as the only member.
 
         Args:
             own: The node's own full record; the table updates it in place.
             time: Clock; None for the system clock.
+            counters: Counts the failures of listeners.
         """
         self._own = own
         self._clock = time or clock.SystemClock()
@@ -62,8 +70,8 @@
         self._tombstones: dict[str, _Tombstone] = {}
         self._index = targets.TargetIndex()
         self._buckets = [0] * records.BUCKET_COUNT
-        self._gossip_listeners: list[Callable[[str], None]] = []
-        self._listeners: list[Callable[[Entry], None]] = []
+        self._gossip_listeners = listeners.ListenerGroup("gossip due", counters)
+        self._listeners = listeners.ListenerGroup("member changed", counters)
         self._filter_targets: TargetFilter = lambda service, found: found
         self.stale = False
         self.apply_member(own)
@@ -104,7 +112,7 @@
         Args:
             listener: Called with the name of the updated member.
         """
-        self._gossip_listeners.append(listener)
+        self._gossip_listeners.add(listener)
 
     def on_change(self, listener: Callable[[Entry], None]) -> None:
         """Registers a listener for changes of entries.
@@ -112,7 +120,7 @@
         Args:
             listener: Called with each entry that was changed or removed.
         """
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def peers(self) -> list[Entry]:
         """Lists all members but the node itself."""
@@ -396,11 +404,9 @@
         self._notify(entry, gossip_due)
 
     def _notify(self, entry: Entry, gossip_due: bool) -> None:
-        for listener in self._listeners:
-            listener(entry)
+        self._listeners.notify(entry)
         if gossip_due:
-            for gossip_listener in self._gossip_listeners:
-                gossip_listener(entry.name)
+            self._gossip_listeners.notify(entry.name)
 
 
 def _intern(member: wire.Member) -> None:
--- a/packages/node/src/sardinedoor_node/published/antientropy.py
+++ b/packages/node/src/sardinedoor_node/published/antientropy.py
@@ -11,6 +11,7 @@
 
 from sardinedoor_node import published
 from sardinedoor_node.published import compression
+from sardinedoor_node.util import listeners
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
     import random
 
     from sardinedoor_node import link
+    from sardinedoor_node import metrics
     from sardinedoor_node.published import catalog
     from sardinedoor_node.published import fleet
     from sardinedoor_node.util import clock
@@ -70,6 +72,7 @@
         transport: link.Transport,
         time: clock.Clock,
         rng: random.Random,
+        counters: metrics.Metrics,
     ):
         """Registers the receivers of messages; nothing is sent yet.
 
@@ -81,6 +84,7 @@
             transport: The node's links.
             time: Source of the monotonic time.
             rng: Chooses peers and jitters the interval.
+            counters: Counts the failures of listeners.
         """
         self._own_link = own_link
         self._domain = failure_domain
@@ -95,7 +99,9 @@
         self._pulled_revision = -1
         self._pulled_at = float("-inf")
         self._compressor = compression.ItemCompressor()
-        self._digest_listeners: list[Callable[[str, link.Channel], None]] = []
+        self._digest_listeners = listeners.ListenerGroup(
+            "digest received", counters
+        )
         replica.on_change(self._push_digests)
         self.leaving = False
         register = transport.on_message
@@ -120,7 +126,7 @@
         Args:
             listener: Called with the sender's name and the channel.
         """
-        self._digest_listeners.append(listener)
+        self._digest_listeners.add(listener)
 
     def request_digest(self, channel: link.Channel) -> None:
         """Asks a peer to answer with a digest, as a sign of life."""
@@ -173,8 +179,7 @@
             self._fleet.mark_leaving(digest.link)
         else:
             self._fleet.mark_serving(digest.link)
-        for listener in self._digest_listeners:
-            listener(digest.link, channel)
+        self._digest_listeners.notify(digest.link, channel)
         if digest.ask:
             channel.send(self._make_digest())
         own = self._catalog.revision
--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node import published
+from sardinedoor_node.util import listeners
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
@@ -80,7 +81,7 @@
         self._workers_by_service: dict[str, list[published.WorkerEntry]] = {}
         self._newest_by_address: dict[str, published.WorkerEntry] = {}
         self._first_revision_by_worker: dict[str, int] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = listeners.ListenerGroup("catalog changed", counters)
         self._confirmed_at = float("-inf")
         self._store_returned_at = float("-inf")
         self._store_unreachable = False
@@ -94,7 +95,7 @@
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Registers a callback for each update that changed the replica."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def confirm_current(self, age_s: float) -> None:
         """Records that the replica was up to date some time ago.
@@ -205,13 +206,9 @@
                     "keys": [item.key for item in applied[:_MAX_LOGGED_NAMES]],
                 },
             )
-            self._notify_listeners()
+            self._listeners.notify()
         return bool(applied)
 
-    def _notify_listeners(self) -> None:
-        for listener in self._listeners:
-            listener()
-
     def _implied_deletions(self, update: published.Update) -> list[wire.Item]:
         """Returns tombstones for the items that a snapshot doesn't contain."""
         present = {item.key for item in update.items}
@@ -316,7 +313,7 @@
             logger.info("worker entry lapsed for good", extra={"worker": name})
         if expired:
             self._rebuild_indexes()
-            self._notify_listeners()
+            self._listeners.notify()
 
     def _rebuild_indexes(self) -> None:
         newest: dict[str, published.WorkerEntry] = {}
--- a/packages/node/src/sardinedoor_node/settings/store.py
+++ b/packages/node/src/sardinedoor_node/settings/store.py
@@ -10,12 +10,14 @@
 from sardinedoor_node.settings import bodies
 from sardinedoor_node.settings import ownership
 from sardinedoor_node.settings import tree
+from sardinedoor_node.util import listeners
 from sardinedoor_schema import faults
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sardinedoor_node import metrics
     from sardinedoor_schema import ini
     from sardinedoor_schema.generated import platform
     from sardinedoor_schema.generated import settings
@@ -54,15 +56,24 @@
     whole and the previous one stays in force.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, counters: metrics.Metrics | None = None):
+        """Creates a store without subtrees.
+
+        Args:
+            counters: Counts the failures of listeners.
+        """
         self._subtrees: dict[str, tree.Subtree] = {}
         self._refused: dict[str, tuple[int, list[ini.Fault]]] = {}
         self._teams: dict[str, _TeamRecord] = {}
         self._digest = 0
         self._ownership = ownership.Ownership()
-        self._listeners: list[Callable[[], None]] = []
-        self._team_listeners: list[TeamListener] = []
-        self._revision_listeners: list[Callable[[str], None]] = []
+        self._listeners = listeners.ListenerGroup("settings changed", counters)
+        self._team_listeners = listeners.ListenerGroup(
+            "settings of a team changed", counters
+        )
+        self._revision_listeners = listeners.ListenerGroup(
+            "revision of a team changed", counters
+        )
         self._services: dict[str, settings.ServiceSettings] = {}
 
     @property
@@ -147,18 +158,18 @@
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Registers a callback for each accepted subtree."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def on_team_change(self, listener: TeamListener) -> None:
         """Registers a callback that gets a team's old and new subtree."""
-        self._team_listeners.append(listener)
+        self._team_listeners.add(listener)
 
     def on_revision(self, listener: Callable[[str], None]) -> None:
         """Registers a callback that gets the team of each new revision.
 
         It is called for accepted and for refused revisions.
         """
-        self._revision_listeners.append(listener)
+        self._revision_listeners.add(listener)
 
     def apply(self, body: platform.Subtree) -> bool:
         """Puts a subtree in force if it is newer and valid.
@@ -267,10 +278,8 @@
             "settings accepted",
             extra={"team": body.team, "revision": body.revision},
         )
-        for listener in self._team_listeners:
-            listener(old, new)
-        for call in self._listeners:
-            call()
+        self._team_listeners.notify(old, new)
+        self._listeners.notify()
         self._note_revision(record)
 
     def _note_revision(self, record: _TeamRecord) -> None:
@@ -279,5 +288,4 @@
         self._digest ^= record.state_hash
         record.state_hash = records.hash64(text.encode())
         self._digest ^= record.state_hash
-        for listener in self._revision_listeners:
-            listener(state.team)
+        self._revision_listeners.notify(state.team)
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -159,6 +159,7 @@
             self._transport,
             self._clock,
             self._rng,
+            self._metrics,
         )
         self._follower = follower.Follower(
             adapters.source,
--- a/tests/test_published/test_published_antientropy.py
+++ b/tests/test_published/test_published_antientropy.py
@@ -79,6 +79,7 @@
             self.transport,
             self.time,
             random.Random(1),
+            metrics.Metrics(),
         )
         peers = (
             (_OWN_LINK, "a"),
