Expect no node and no worker at entries of services that aren't configured

Cause: each entry made a peer. The readers of a failure domain were elected among them, so a domain could have none, and digests went to addresses without a node. The number of nodes, by which the retry budget is divided, was too high as well. An entry with the address of a live worker and a later start replaced it.

An entry of a service that the configuration doesn't have is no peer any more, and yields to any other entry of its address. Without a configuration all count, as nothing can be ruled out then.

--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -160,6 +160,14 @@
         """Lists all workers, including those that are draining."""
         return self._workers.values()
 
+    def is_configured(self, service: str) -> bool:
+        """Returns whether the configuration in force has a service.
+
+        Before there is a configuration, no service can be ruled out.
+        """
+        configuration = self.configuration
+        return configuration is None or service in configuration.connections
+
     def changes_since(self, revision: int) -> published.Update:
         """Returns the update that a replica at an earlier revision needs.
 
@@ -319,7 +327,7 @@
         newest: dict[str, published.WorkerEntry] = {}
         found = [lapsed.entry for lapsed in self._lapsed.values()]
         found += self._workers.values()
-        for entry in sorted(found, key=self._start_order):
+        for entry in sorted(found, key=self._precedence):
             newest[entry.address] = entry
         services: dict[str, list[published.WorkerEntry]] = {}
         for entry in newest.values():
@@ -328,9 +336,17 @@
         self._newest_by_address = newest
         self._workers_by_service = services
 
-    def _start_order(self, entry: published.WorkerEntry) -> tuple[int, int]:
-        return entry.started_ms, self._first_revision_by_worker.get(
-            entry.name, 0
+    def _precedence(
+        self, entry: published.WorkerEntry
+    ) -> tuple[bool, int, int]:
+        """Orders the entries that claim one address; the last one holds.
+
+        An entry of a service that isn't configured comes from another writer.
+        """
+        return (
+            self.is_configured(entry.service),
+            entry.started_ms,
+            self._first_revision_by_worker.get(entry.name, 0),
         )
 
     def _record_refused(self, item: wire.Item, reason: str) -> None:
--- a/packages/node/src/sardinedoor_node/published/fleet.py
+++ b/packages/node/src/sardinedoor_node/published/fleet.py
@@ -123,6 +123,9 @@
     ) -> tuple[list[str], list[str]]:
         """Groups all other nodes that have a worker by failure domain.
 
+        Entries of services that the configuration doesn't have come from other
+        writers, so no node is expected at their addresses.
+
         Returns:
             The nodes in the failure domain, and those in other domains.
         """
@@ -143,6 +146,8 @@
         near = set()
         far = set()
         for entry in self._catalog.all_workers():
+            if not self._catalog.is_configured(entry.service):
+                continue
             name = f"{entry.host}:{self._port}"
             same = entry.failure_domain == failure_domain
             (near if same else far).add(name)
--- a/packages/standins/src/sardinedoor_standins/textitems.py
+++ b/packages/standins/src/sardinedoor_standins/textitems.py
@@ -12,9 +12,9 @@
 class TextDecoder(published.Decoder):
     """Decodes items whose values are short texts.
 
-    The configuration has the value `version`, a worker the value
-    `address/service/born/state/domain`. The domain is optional and `a` by
-    default.
+    The configuration has the value `version`, and the service `pay`. A worker
+    has the value `address/service/born/state/domain`. The domain is optional
+    and `a` by default.
     """
 
     def configuration(self, item):
@@ -24,7 +24,7 @@
         if not item.value.isdigit():
             return result.Err("no number")
         return result.Ok(
-            published.Configuration(int(item.value), [], {}, 1, 1.0)
+            published.Configuration(int(item.value), [], {"pay": 1}, 1, 1.0)
         )
 
     def worker_name(self, key):
