Keep an answer if another offer of the request fails in the same step

Callers could see a failure although a worker had answered: if a hedge and the first offer ended in the same step of the event loop, the result that was recorded last became the request's.

Once an offer is answered, later results are only counted. They don't draw on the retry budget either.

Before: test_answer_is_kept_if_another_offer_fails_in_the_same_step failed with the 500 of the other offer. After: it passes in both orders, for a server error, a timeout and a refusal, as do the other tests of the module.

--- a/packages/node/src/sardinedoor_node/ingress/requestprogress.py
+++ b/packages/node/src/sardinedoor_node/ingress/requestprogress.py
@@ -43,7 +43,7 @@
         may_have_run: Names of the workers that may have run it.
         busy: Targets whose owners had no free slot, by worker.
         offer_records: Log records of the offers that ended.
-        last_result: Result of the offer that ended last.
+        last_result: Result of the offer that ended last, or was answered.
         failure: The result unless a later offer succeeds: the newest reply
             with a server error, else the first failure without a reply.
         ejected_count: Number of owners that refused it for the health of their
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -242,9 +242,12 @@
                 flight.
             now: Monotonic time, in s.
         """
-        progress.last_result = result
         code = result.code
         self._metrics.retry(code.name.lower())
+        if progress.answered:
+            # Another offer that ended in the same step was answered.
+            return
+        progress.last_result = result
         if code is codes.Code.LINK_DOWN:
             progress.link_was_down = True
         if code is codes.Code.TARGET_EJECTED:
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -164,6 +164,46 @@
     return asyncio.run(run()), sender
 
 
+class ConcurrentResultsTest(testtools.TestCase):
+    def test_answer_is_kept_if_another_offer_fails_in_the_same_step(self):
+        """The result that was recorded last replaced the answer."""
+        answer = attempt.ForwardResult(
+            _C.ANSWERED, "a", wire.Reply(b"", 200, 0, b"")
+        )
+        others = (
+            attempt.ForwardResult(
+                _C.ANSWERED, "b", wire.Reply(b"", 500, 0, b"")
+            ),
+            attempt.ForwardResult(_C.TARGET_TIMEOUT, "b"),
+            attempt.ForwardResult(_C.QUEUE_FULL, "b"),
+        )
+        for other in others:
+            for results in ((answer, other), (other, answer)):
+                self.assertIs(answer, self._record(results), other)
+
+    def _record(
+        self, results: tuple[attempt.ForwardResult, ...]
+    ) -> attempt.ForwardResult:
+        decisions = strategy.OfferStrategy(_InOrderPicker(), metrics.Metrics())
+        job = attempt.Job(wire.Request("GET", "/"), "pay", True, 2.0)
+        progress = requestprogress.Progress(0.0)
+        budget = retrywindow.WindowedBudgets(
+            retrywindow.RetryRules(0.0, 10.0, 60.0), lambda: 1, 0.0, 0.0
+        ).for_service("pay")
+        for result in results:
+            target = targets.Target(result.worker, "pay", result.worker, False)
+            decisions.record(
+                job,
+                progress,
+                picking.Choice(target),
+                result,
+                budget,
+                False,
+                1.0,
+            )
+        return progress.result()
+
+
 class FailoverForwarderTest(testtools.TestCase):
     def test_any_request_that_was_not_run_fails_over(self):
         for code in (
