Start long-lived tasks again, and be ready only with routes

Cause: a task that must live as long as the process was started like one that may end, and readiness asked for a configuration instead of the routes.

`TaskGroup.supervise` starts such a task again with backoff, logs and counts it by name; `sardinedoor status` lists the counts. All loops that run until cancelled use it. All of them keep their state in objects that outlive the task, so there is none that can't be started again.

--- a/packages/cli/src/sardinedoor_cli/views.py
+++ b/packages/cli/src/sardinedoor_cli/views.py
@@ -41,9 +41,16 @@
         "\nPlatform",
         _platform(fleet_status.platform),
     ]
+    if fleet_status.task_restarts:
+        parts += ["\nTasks started again", _task_restarts(fleet_status)]
     return "\n".join(parts)
 
 
+def _task_restarts(fleet_status: admin_status.Status) -> str:
+    rows = sorted(fleet_status.task_restarts.items())
+    return output.table(("task", "times"), rows)
+
+
 def _members(fleet_status: admin_status.Status) -> str:
     rows = [
         (m.name, m.failure_domain, m.state, _marks(m), m.reason)
--- a/packages/node/src/sardinedoor_node/admin/status.py
+++ b/packages/node/src/sardinedoor_node/admin/status.py
@@ -139,6 +139,7 @@
         targets: The targets of all services.
         workers: The node's own workers.
         health: Health of these workers.
+        task_restarts: Restarts of tasks that should not have ended, by task.
     """
 
     node: str
@@ -152,6 +153,7 @@
     health: list[healthstatus.HealthStatus] = dataclasses.field(
         default_factory=list
     )
+    task_restarts: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def collect(
--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -64,7 +64,7 @@
         self._node_file = file
         self._clock = clock.SystemClock()
         self._metrics = metrics.Metrics()
-        self._tasks = tasks.TaskGroup()
+        self._tasks = tasks.TaskGroup(self._metrics, self._clock)
         self._stopping = asyncio.Event()
         incarnation = secrets.token_bytes(INCARNATION_BYTES)
         self._own = wire.Member(
@@ -232,11 +232,11 @@
         self._membership.start()
         self._members.on_change(self._drainer.on_member_change)
         if self._tls_context is not None:
-            self._tasks.spawn(
-                self._tls_context.reload_periodically(), "certificate"
+            self._tasks.supervise(
+                self._tls_context.reload_periodically, "certificate"
             )
         self._health_tasks.start(self._tasks)
-        self._tasks.spawn(self._path_prober.run(), "path-watch")
+        self._tasks.supervise(self._path_prober.run, "path-watch")
         self._listen_admin(node.admin)
         self._ingress.listen(node.public, public=True)
         self._ingress.listen(node.internal, public=False)
@@ -280,6 +280,7 @@
         collected.health = healthstatus.collect(
             self._health, self._clock.monotonic()
         )
+        collected.task_restarts = dict(self._metrics.task_restarts)
         return collected
 
     async def _drain(self) -> None:
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -88,6 +88,11 @@
             return _MAX_BODY_BYTES
         return min(_MAX_BODY_BYTES, configuration.max_body_bytes)
 
+    @property
+    def has_routes(self) -> bool:
+        """Whether the routes are known; all requests are refused until then."""
+        return self._routes is not None
+
     def _on_catalog_change(self) -> None:
         configuration = self._catalog.configuration
         if configuration is None:
--- a/packages/node/src/sardinedoor_node/link/zeromq.py
+++ b/packages/node/src/sardinedoor_node/link/zeromq.py
@@ -135,7 +135,7 @@
         self._local = local.LocalChannel(self._dispatcher)
         self._own_name = own_name
         self._peers: dict[str, _Peer] = {}
-        self._tasks = tasks.TaskGroup()
+        self._tasks = tasks.TaskGroup(counters)
         self._router: asyncsocket.AsyncSocket | None = None
         self._source_prefix = ""
         self._link_listeners = listeners.ListenerGroup("link changed", counters)
@@ -175,14 +175,15 @@
             self._authenticator = curve.KeyAuthenticator(
                 self._context, self._keys, self._metrics
             )
-            self._tasks.spawn(self._authenticator.run(), "link-keys")
+            self._tasks.supervise(self._authenticator.run, "link-keys")
             self._keys.secure_server(router)
         router.bind(f"tcp://{address}")
         host = address.rpartition(":")[0]
         if host not in _WILDCARD_HOSTS:
             self._source_prefix = f"{host}:0;"
         self._router = asyncsocket.AsyncSocket(router)
-        self._tasks.spawn(self._serve(self._router), "link-router")
+        serve = functools.partial(self._serve, self._router)
+        self._tasks.supervise(serve, "link-router")
 
     def connect(self, name: str, address: str) -> link.Channel:
         """See base class."""
@@ -226,7 +227,8 @@
         channel = DealerChannel(
             dealer, functools.partial(self._on_link_change, name)
         )
-        task = self._tasks.spawn(self._receive(channel), f"link-{name}")
+        receive = functools.partial(self._receive, channel)
+        task = self._tasks.supervise(receive, "link-receiver")
         self._peers[name] = _Peer(address, channel, task, key_number)
         return channel
 
--- a/packages/node/src/sardinedoor_node/membership/prober.py
+++ b/packages/node/src/sardinedoor_node/membership/prober.py
@@ -80,10 +80,13 @@
         pause_detector.on_pause(self._on_pause)
         members.on_change(self._on_change)
 
-    async def run(self) -> None:
-        """Runs until cancelled."""
-        self._tasks.spawn(self._ping_dead_members(), "revisit")
-        self._tasks.spawn(self._clean_up(), "forget")
+    def start(self) -> None:
+        """Starts the tasks."""
+        self._tasks.supervise(self._run, "prober")
+        self._tasks.supervise(self._ping_dead_members, "revisit")
+        self._tasks.supervise(self._clean_up, "forget")
+
+    async def _run(self) -> None:
         while True:
             self._pause_detector.check()
             self._update_probe_tasks()
--- a/packages/node/src/sardinedoor_node/membership/service.py
+++ b/packages/node/src/sardinedoor_node/membership/service.py
@@ -101,7 +101,7 @@
 
     def start(self) -> None:
         """Starts the background tasks of the components."""
-        self._tasks.spawn(self.prober.run(), "prober")
-        self._tasks.spawn(self.gossip.run(), "gossip")
-        self._tasks.spawn(self.member_fetcher.run(), "bodies")
-        self._tasks.spawn(self.settings_replicator.run(), "spread")
+        self.prober.start()
+        self._tasks.supervise(self.gossip.run, "gossip")
+        self._tasks.supervise(self.member_fetcher.run, "bodies")
+        self._tasks.supervise(self.settings_replicator.run, "spread")
--- a/packages/node/src/sardinedoor_node/metrics.py
+++ b/packages/node/src/sardinedoor_node/metrics.py
@@ -14,10 +14,16 @@
 
 
 class Metrics:
-    """All metrics of one node, in a separate registry."""
+    """All metrics of one node, in a separate registry.
+
+    Attributes:
+        registry: The metrics that are served.
+        task_restarts: Restarts of tasks that should not have ended, by task.
+    """
 
     def __init__(self) -> None:
         self.registry = collectors.Registry()
+        self.task_restarts: dict[str, int] = {}
         self._results = self._counter(
             "sardinedoor_results_total", "Requests by result code."
         )
@@ -30,6 +36,10 @@
         self._events = self._counter(
             "sardinedoor_events_total", "Internal events by kind."
         )
+        self._task_restarts = self._counter(
+            "sardinedoor_task_restarts_total",
+            "Restarts of tasks that should not have ended, by task.",
+        )
         self._health = self._counter(
             "sardinedoor_health_changes_total",
             "Changes of a target's health by new state and reason.",
@@ -80,6 +90,11 @@
         """Counts an internal event."""
         self._events.inc({"kind": kind})
 
+    def task_restarted(self, task: str) -> None:
+        """Counts a restart of a task that should not have ended."""
+        self.task_restarts[task] = self.task_restarts.get(task, 0) + 1
+        self._task_restarts.inc({"task": task})
+
     def health(self, state: str, reason: str) -> None:
         """Counts a change of the health state of a target."""
         self._health.inc({"state": state, "reason": reason})
--- a/packages/node/src/sardinedoor_node/owner/healthtasks.py
+++ b/packages/node/src/sardinedoor_node/owner/healthtasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import secrets
 from typing import TYPE_CHECKING
@@ -89,11 +90,13 @@
         Args:
             group: Group that runs them.
         """
-        group.spawn(self._run_ticks(group), "health-ticks")
-        group.spawn(self._run_refresh(), "health-refresh")
-        group.spawn(self._run_announce(), "health-announce")
+        run_ticks = functools.partial(self._run_ticks, group)
+        group.supervise(run_ticks, "health-ticks")
+        group.supervise(self._run_refresh, "health-refresh")
+        group.supervise(self._run_announce, "health-announce")
         for worker in self._workers.values():
-            group.spawn(self._run_probes(worker), f"probe-{worker.name}")
+            run_probes = functools.partial(self._run_probes, worker)
+            group.supervise(run_probes, f"probe-{worker.name}")
 
     def _on_settings(self) -> None:
         self._health.configure(self._store.services)
--- a/packages/node/src/sardinedoor_node/platform/service.py
+++ b/packages/node/src/sardinedoor_node/platform/service.py
@@ -85,8 +85,8 @@
 
     def start(self) -> None:
         """Starts the long polls."""
-        self._tasks.spawn(self.reader.poll_settings(), "settings")
-        self._tasks.spawn(self.reader.poll_instances(), "instances")
+        self._tasks.supervise(self.reader.poll_settings, "settings")
+        self._tasks.supervise(self.reader.poll_instances, "instances")
 
     def close(self) -> None:
         """Closes the client."""
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -138,7 +138,7 @@
         self._clock = clock.SystemClock()
         self._rng = random.Random()
         self._metrics = metrics.Metrics()
-        self._tasks = tasks.TaskGroup()
+        self._tasks = tasks.TaskGroup(self._metrics, self._clock)
         self._stopping = asyncio.Event()
         self._leaving = False
         incarnation = secrets.token_bytes(_INCARNATION_BYTES)
@@ -296,7 +296,7 @@
         return 1 + len(near) + len(far)
 
     def _is_ready(self) -> bool:
-        return not self._leaving and self._catalog.configuration is not None
+        return not self._leaving and self._handler.has_routes
 
     def _announce_leaving(self) -> None:
         self._leaving = True
@@ -319,9 +319,9 @@
             settings.admin_address,
             metricspage.make_application(self._metrics.registry),
         )
-        self._tasks.spawn(self._follower.run(), "follower")
-        self._tasks.spawn(self._anti_entropy.run(), "spread")
-        self._tasks.spawn(self._link_prober.run(), "silence")
+        self._tasks.supervise(self._follower.run, "follower")
+        self._tasks.supervise(self._anti_entropy.run, "spread")
+        self._tasks.supervise(self._link_prober.run, "silence")
         await self._stopping.wait()
         await self._drain.run(
             _READINESS_NOTICE_S, settings.grace_s - _EXIT_RESERVE_S
