Pass bytes above ASCII in request targets on unchanged

Callers saw: a path with raw bytes above 0x7f reached the worker encoded twice. The head is decoded as Latin-1, one character for each byte, and the HTTP library of the owner encodes the request line as UTF-8.

The owner now decodes the target, so that the library writes the bytes that came. A target that isn't UTF-8 can't be written by it and is refused with 400, rather than changed. Header values and bodies passed unchanged before.

Before: test_bytes_above_ascii_pass_unchanged failed at its first path, and a target with the byte 0xff was run with other bytes. After: both tests pass.

--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -105,6 +105,8 @@
         """See base class."""
         if self._routes is None:
             return codes.Code.SETTINGS_UNKNOWN
+        if not _is_utf8(request.raw_target):
+            return codes.Code.BAD_REQUEST
         path = request.raw_target.partition("?")[0]
         host = request.headers.get("Host", "")
         request.route = self._routes.match(host, path)
@@ -261,3 +263,15 @@
                 ],
             },
         )
+
+
+def _is_utf8(target: str) -> bool:
+    """Returns whether the bytes of a request target are valid UTF-8.
+
+    Owners can't pass on others unchanged. Each character stands for one byte.
+    """
+    try:
+        target.encode("latin1").decode("utf-8")
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -104,6 +104,14 @@
         self.finished = True
 
 
+def _decode_path(path: str) -> str:
+    """Decodes a path, of which each character stands for one byte.
+
+    Tornado encodes the request line as UTF-8.
+    """
+    return path.encode("latin1").decode("utf-8")
+
+
 def _has_explicit_end(collector: _ResponseCollector) -> bool:
     """Returns whether a response ends other than by closing the connection."""
     if collector.status in (204, 304):
@@ -252,7 +260,7 @@
             stream, True, _PARAMETERS
         )
         start_line = httputil.RequestStartLine(
-            request.method, request.path, "HTTP/1.1"
+            request.method, _decode_path(request.path), "HTTP/1.1"
         )
         # The response is read concurrently: the target may send it before it
         # has read a long body.
