Close idle links of nodes on the users' platform

A link to a peer that had left was never closed there, so that after about a thousand different peers no further link could be opened. The product's own edition closes them in its membership, which the platform's edition doesn't run.

Before: test_idle_links_are_closed ran into its time limit. After: it passes, and 5,000 peers, 100 at a time, leave fewer than 200 links.

--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -72,6 +72,8 @@
 # Requests detect silent peers. Heartbeats only close unused connections, and
 # they cost traffic between failure domains.
 _HEARTBEAT_INTERVAL_MS = 2_000
+# Interval at which links to peers that are gone are looked for.
+_IDLE_LINK_CHECK_S = 60.0
 # The hold timeout covers a round trip and the owner's wait for a free slot.
 _SLOT_WAIT_S = 0.12
 _HOLD_TIMEOUT_S = 0.2
@@ -322,6 +324,7 @@
         self._tasks.supervise(self._follower.run, "follower")
         self._tasks.supervise(self._anti_entropy.run, "spread")
         self._tasks.supervise(self._link_prober.run, "silence")
+        self._tasks.supervise(self._close_idle_links, "idle-links")
         await self._stopping.wait()
         await self._drain.run(
             _READINESS_NOTICE_S, settings.grace_s - _EXIT_RESERVE_S
@@ -335,6 +338,11 @@
         await self._transport.close(_LINK_LINGER_MS)
         logger.info("stopped")
 
+    async def _close_idle_links(self) -> None:
+        while True:
+            await self._clock.sleep(_IDLE_LINK_CHECK_S)
+            self._transport.close_idle()
+
     def stop(self) -> None:
         """Requests a graceful shutdown; further calls have no effect."""
         self._stopping.set()
