--- a/bench/mechanisms/replicas.py
+++ b/bench/mechanisms/replicas.py
@@ -1,10 +1,11 @@
-"""Mechanisms of the replicas of published items."""
+"""Mechanisms of the replicas of published items, and of their tasks."""
 
 from __future__ import annotations
 
 from mechanisms import mechanism
 
 _PUBLISHED_TESTS = ("tests/test_published",)
+_UTIL_TESTS = ("tests/test_util",)
 MECHANISMS = [
     mechanism.Mechanism(
         "a configuration never goes back",
@@ -37,8 +38,8 @@
     mechanism.Mechanism(
         "of entries at one address the newest counts",
         "published/catalog.py",
-        "for entry in sorted(found, key=self._start_order):",
-        "for entry in reversed(sorted(found, key=self._start_order)):",
+        "for entry in sorted(found, key=self._precedence):",
+        "for entry in reversed(sorted(found, key=self._precedence)):",
         _PUBLISHED_TESTS,
     ),
     mechanism.Mechanism(
@@ -48,4 +49,60 @@
         "elif False:",
         _PUBLISHED_TESTS,
     ),
+    mechanism.Mechanism(
+        "entries of services that aren't configured are no peers",
+        "published/fleet.py",
+        "if not self._catalog.is_configured(entry.service):",
+        "if False:",
+        _PUBLISHED_TESTS,
+    ),
+    mechanism.Mechanism(
+        "entries of services that aren't configured replace no worker",
+        "published/catalog.py",
+        "self.is_configured(entry.service),",
+        "True,",
+        _PUBLISHED_TESTS,
+    ),
+    mechanism.Mechanism(
+        "a node without contact reads the store",
+        "published/follower.py",
+        "return self._replica.contact_age_s > wait_s",
+        "return self._replica.contact_age_s > 4.0",
+        _PUBLISHED_TESTS,
+    ),
+    mechanism.Mechanism(
+        "contacts are pushed",
+        "published/antientropy.py",
+        "replica.on_contact(self._push_contact)",
+        "pass",
+        _PUBLISHED_TESTS,
+    ),
+    mechanism.Mechanism(
+        "silent peers aren't live",
+        "published/liveness.py",
+        "return [n for n in names if self._last_sign_at(n) >= oldest]",
+        "return names",
+        _PUBLISHED_TESTS,
+    ),
+    mechanism.Mechanism(
+        "a listener that raises doesn't silence the next",
+        "util/listeners.py",
+        "except Exception:",
+        "except ZeroDivisionError:",
+        _UTIL_TESTS,
+    ),
+    mechanism.Mechanism(
+        "a task that ends is started again",
+        "util/tasks.py",
+        "except Exception as e:",
+        "except ZeroDivisionError as e:",
+        _UTIL_TESTS,
+    ),
+    mechanism.Mechanism(
+        "an address that can't be opened raises nothing",
+        "link/zeromq.py",
+        "except zmq.ZMQError as e:",
+        "except ZeroDivisionError as e:",
+        ("tests/test_link/test_link_unusable.py",),
+    ),
 ]
