Fuzz the replicas with all that may be published and disturbances between

A hypothesis machine publishes workers, entries of other writers, unreadable bytes and hundreds of entries without a node, and cuts, freezes and restarts nodes. After each step all tasks live, all sound workers are in use, and undisturbed nodes take a change within its bound. It runs the real decoder, replica, directory, gossip and follower on a virtual clock; `make fuzz` covers the tests of the platform too.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 fuzz: setup
 	FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) $(BIN)/python -m pytest -k fuzz
+	cd platform && FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) ../$(BIN)/python -m pytest -k fuzz
 
 # BENCH is the path of the users' bench, SITES the folder of its site files.
 regression: setup
--- a/packages/standins/src/sardinedoor_standins/publishedsim.py
+++ b/packages/standins/src/sardinedoor_standins/publishedsim.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import random
 
@@ -41,7 +42,9 @@
         self.revision = 0
         self._items: dict[str, wire.Item] = {}
         self._history: list[wire.Item] = []
-        self._waiting: list[asyncio.Event] = []
+        self._waiting: list[
+            tuple[asyncio.AbstractEventLoop, asyncio.Event]
+        ] = []
 
     def put(self, key: str, value: bytes, deleted: bool = False) -> None:
         """Writes or deletes an item."""
@@ -49,8 +52,8 @@
         item = wire.Item(key, self.revision, value, deleted)
         self._history.append(item)
         self._items[key] = item
-        for event in self._waiting:
-            event._loop.call_soon(event.set)
+        for loop, event in self._waiting:
+            loop.call_soon(event.set)
         self._waiting.clear()
 
     def snapshot(self) -> published.Update:
@@ -66,8 +69,7 @@
     async def wait_for_change(self, timeout_s: float) -> None:
         """Waits until an item changes or the timeout, in s, ends."""
         event = asyncio.Event()
-        event._loop = asyncio.get_running_loop()
-        self._waiting.append(event)
+        self._waiting.append((asyncio.get_running_loop(), event))
         try:
             async with asyncio.timeout(timeout_s):
                 await event.wait()
@@ -114,12 +116,46 @@
         return self.reachable
 
 
+class ItemFormat(abc.ABC):
+    """Format of the published items."""
+
+    @abc.abstractmethod
+    def decoder(self) -> published.Decoder:
+        """Returns a decoder of the items."""
+
+    @abc.abstractmethod
+    def configuration(self, version: int) -> tuple[str, bytes]:
+        """Returns key and value of a configuration with the service `pay`."""
+
+    @abc.abstractmethod
+    def worker(self, name: str, host: str, domain: str) -> tuple[str, bytes]:
+        """Returns key and value of the entry of a worker of this service."""
+
+
+class TextFormat(ItemFormat):
+    """The short text form for tests."""
+
+    def decoder(self) -> published.Decoder:
+        """See base class."""
+        return textitems.TextDecoder()
+
+    def configuration(self, version: int) -> tuple[str, bytes]:
+        """See base class."""
+        return "c", str(version).encode()
+
+    def worker(self, name: str, host: str, domain: str) -> tuple[str, bytes]:
+        """See base class."""
+        value = f"{host}:80/pay/1/ready/{domain}"
+        return textitems.WORKER + name, value.encode()
+
+
 class Node:
     """A simulated node.
 
     Attributes:
         link: Its link address, which is also its name.
         failure_domain: Its failure domain.
+        directory: Its directory of targets and peers.
         replica: Its replica of the published items.
         store: Its connection to the store.
         loop: Its event loop, which can be frozen and killed.
@@ -141,8 +177,12 @@
         clock = virtualtime.VirtualClock(simulation.timeline)
         counters = metrics.Metrics()
         rng = random.Random(simulation.rng.random())
-        self.replica = catalog.Catalog(textitems.TextDecoder(), clock, counters)
-        directory = fleet.PublishedDirectory(self.link, self.replica, clock)
+        self.replica = catalog.Catalog(
+            simulation.item_format.decoder(), clock, counters
+        )
+        self.directory = fleet.PublishedDirectory(
+            self.link, self.replica, clock
+        )
         transport = memlink.MemoryTransport(
             self.link, simulation.network, self.loop, counters
         )
@@ -150,7 +190,7 @@
             self.link,
             failure_domain,
             self.replica,
-            directory,
+            self.directory,
             transport,
             clock,
             rng,
@@ -159,7 +199,7 @@
         self._follower = follower.Follower(
             self.store,
             self.replica,
-            directory,
+            self.directory,
             failure_domain,
             clock,
             rng,
@@ -172,6 +212,11 @@
         configuration = self.replica.configuration
         return configuration.version if configuration else 0
 
+    @property
+    def runs(self) -> bool:
+        """Whether all tasks of the node are running."""
+        return not any(task.done() for task in self._tasks)
+
     def start(self) -> None:
         """Starts the node's tasks."""
         self._tasks = [
@@ -188,11 +233,17 @@
         network: The links between the nodes.
         store: The store.
         nodes: The nodes.
+        item_format: Format of the published items.
         rng: Source of all random choices.
     """
 
     def __init__(
-        self, node_count: int, domains: int, apply_s: float, seed: int
+        self,
+        node_count: int,
+        domains: int,
+        apply_s: float,
+        seed: int,
+        item_format: ItemFormat | None = None,
     ):
         """Publishes one worker for each node and starts the nodes.
 
@@ -201,12 +252,15 @@
             domains: Number of failure domains, among which they are spread.
             apply_s: Time in which a change must be in force, in s.
             seed: Seed of all random choices.
+            item_format: Format of the items; None for the text form.
         """
+        self.item_format = item_format or TextFormat()
+        self._apply_s = apply_s
         self.rng = random.Random(seed)
         self.timeline = virtualtime.Timeline()
         self.network = memlink.Network(self.timeline, self.rng)
         self.store = Store()
-        self.store.put("c", b"1")
+        self.store.put(*self.item_format.configuration(1))
         self.nodes: list[Node] = []
         for number in range(1, node_count + 1):
             domain = f"d{number % domains}"
@@ -223,19 +277,30 @@
             number: Number from which its address is made.
             domain: Its failure domain.
         """
-        value = f"{_host(number)}:80/pay/1/ready/{domain}"
-        self.store.put(textitems.WORKER + name, value.encode())
+        self.store.put(*self.item_format.worker(name, _host(number), domain))
 
     def change(self) -> int:
         """Publishes the next version of the configuration and returns it."""
         version = self.store.revision + 1
-        self.store.put("c", str(version).encode())
+        self.store.put(*self.item_format.configuration(version))
         return version
 
     def run(self, seconds: float) -> None:
         """Runs all nodes for some seconds of virtual time."""
         self.timeline.run_until(self.timeline.now + seconds)
 
+    def restart(self, number: int) -> None:
+        """Kills a node and starts another process in its place.
+
+        Args:
+            number: Number of the node, from 1.
+        """
+        killed = self.nodes[number - 1]
+        killed.loop.kill()
+        started = Node(number, killed.failure_domain, self, self._apply_s)
+        self.nodes[number - 1] = started
+        started.start()
+
     def cut(self, nodes: list[Node], seconds: float = _CUT_S) -> None:
         """Cuts nodes off from all other nodes, but not from the store."""
         for node in nodes:
