--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -25,8 +25,9 @@
 # of its return; the rest covers the propagation among nodes.
 LAPSE_GRACE_S = 2.35
 # A store that this node can't reach is considered down once no peer has
-# confirmed contact with it for this long either. A watch and the gossip of a
-# digest take 2.5 s. While peers still reach the store, deletions are final.
+# confirmed contact with it for this long either. A long poll of a reader and
+# the gossip of its digest take less. While peers still reach the store,
+# deletions are final.
 OUTAGE_S = 2.6
 # A peer that needs older tombstones gets a snapshot instead.
 _MAX_TOMBSTONES = 1_000
--- a/packages/node/src/sardinedoor_node/util/tasks.py
+++ b/packages/node/src/sardinedoor_node/util/tasks.py
@@ -18,7 +18,7 @@
 
 _RESTART_DELAY_MIN_S = 0.1
 _RESTART_DELAY_MAX_S = 5.0
-# A task that has run for longer than this is started again without delay.
+# The delay is short again after a task has run for longer than this.
 _STABLE_S = 60.0
 
 
