Announce a planned stop to silent peers too

A peer of another failure domain is heard once in some 20 s with 27 nodes, and once in some 200 s with 234, so that of several a part counts as silent. No caller was seen to be harmed; found by reading the change.

Before: the new test failed (no digest to peers that had been silent for 600 s). After: it passes.

--- a/packages/node/src/sardinedoor_node/published/antientropy.py
+++ b/packages/node/src/sardinedoor_node/published/antientropy.py
@@ -165,8 +165,12 @@
             self._send_digest(name)
 
     def announce(self) -> None:
-        """Sends a digest to all live peers, for a planned stop."""
-        near, far = self._fleet.live_peers(self._domain)
+        """Sends a digest to all peers, for a planned stop.
+
+        Peers of other domains may be silent for long, and those that aren't
+        told offer requests until they are refused.
+        """
+        near, far = self._fleet.peers_by_domain(self._domain)
         for name in [*near, *far]:
             self._send_digest(name)
 
--- a/tests/test_published/test_published_antientropy.py
+++ b/tests/test_published/test_published_antientropy.py
@@ -113,6 +113,14 @@
         self.transport.deliver(name, wire.Digest(name, revision, 0))
         return self.transport.channels[name].drain_types()
 
+    def test_planned_stop_is_announced_to_peers_that_are_silent_too(self):
+        self.time.now_s += 600.0
+        self.anti_entropy.leaving = True
+        self.anti_entropy.announce()
+        for name in (_SAME_DOMAIN_LINK, _OTHER_DOMAIN_LINK):
+            (digest,) = self.transport.channels[name].sent
+            self.assertTrue(digest.leaving)
+
     def test_same_domain_transfers_items_at_once(self):
         self.assertEqual(
             [wire.ItemsPull], self._receive_digest(_SAME_DOMAIN_LINK, 9)
