Decode request targets in one place

The check of the ingress and the decoding at the owner were the same two lines. One function does it now, and an owner passes on a target that an ingress of an older version didn't refuse, as before the check. Otherwise no change of behaviour; the tests of the platform, of targets and of replicas pass.

--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -16,6 +16,7 @@
 from sardinedoor_node.ingress import responses
 from sardinedoor_node.ingress import retryafter
 from sardinedoor_node.ingress import server
+from sardinedoor_node.util import octets
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
@@ -105,7 +106,8 @@
         """See base class."""
         if self._routes is None:
             return codes.Code.SETTINGS_UNKNOWN
-        if not _is_utf8(request.raw_target):
+        if octets.decode_utf8(request.raw_target) is None:
+            # The owner's HTTP library can't write such a target unchanged.
             return codes.Code.BAD_REQUEST
         path = request.raw_target.partition("?")[0]
         host = request.headers.get("Host", "")
@@ -263,15 +265,3 @@
                 ],
             },
         )
-
-
-def _is_utf8(target: str) -> bool:
-    """Returns whether the bytes of a request target are valid UTF-8.
-
-    Owners can't pass on others unchanged. Each character stands for one byte.
-    """
-    try:
-        target.encode("latin1").decode("utf-8")
-    except UnicodeDecodeError:
-        return False
-    return True
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -16,6 +16,7 @@
 from sardinedoor_node.owner import announcements
 from sardinedoor_node.owner import connections
 from sardinedoor_node.owner import dialect
+from sardinedoor_node.util import octets
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -104,14 +105,6 @@
         self.finished = True
 
 
-def _decode_path(path: str) -> str:
-    """Decodes a path, of which each character stands for one byte.
-
-    Tornado encodes the request line as UTF-8.
-    """
-    return path.encode("latin1").decode("utf-8")
-
-
 def _has_explicit_end(collector: _ResponseCollector) -> bool:
     """Returns whether a response ends other than by closing the connection."""
     if collector.status in (204, 304):
@@ -259,9 +252,10 @@
         http_connection = http1connection.HTTP1Connection(
             stream, True, _PARAMETERS
         )
-        start_line = httputil.RequestStartLine(
-            request.method, _decode_path(request.path), "HTTP/1.1"
-        )
+        # Tornado encodes the request line as UTF-8. Ingresses refuse targets that
+        # this can't write, except those of an older version.
+        path = octets.decode_utf8(request.path) or request.path
+        start_line = httputil.RequestStartLine(request.method, path, "HTTP/1.1")
         # The response is read concurrently: the target may send it before it
         # has read a long body.
         written = http_connection.write_headers(
--- a/packages/standins/src/sardinedoor_standins/publishedsim.py
+++ b/packages/standins/src/sardinedoor_standins/publishedsim.py
@@ -169,10 +169,10 @@
         apply_s: float,
     ):
         """Builds the components; `start` runs them."""
-        self.host = _host(number)
-        self.link = f"{self.host}:{_PORT}"
+        self.link = f"{_host(number)}:{_PORT}"
         self.failure_domain = failure_domain
         self.store = StoreReader(simulation.store)
+        self._tasks: list[asyncio.Task] = []
         self.loop = simulation.timeline.new_loop()
         clock = virtualtime.VirtualClock(simulation.timeline)
         counters = metrics.Metrics()
@@ -219,7 +219,7 @@
 
     def start(self) -> None:
         """Starts the node's tasks."""
-        self._tasks = [
+        self._tasks += [
             self.loop.create_task(self._follower.run()),
             self.loop.create_task(self._anti_entropy.run()),
         ]
