Bound what is held for callers; don't blame workers for their calls

Callers that aren't controlled. Causes: responses wait in connection buffers without a bound over all connections; reference cycles keep replies until a garbage collection; a peer's replies fill the receiving queue. Change: limits from the memory and descriptors of the settings, at which the slowest receiver, the stalled body or the longest idle connection gives way; long replies are acknowledged; responses of workers are read one after another at a limit. Streaming a download of any size isn't begun.

Cause: a parent's 500 after a failed call counted as its worker's failure, and calls met doubtful workers like other repeatable work, though their parents can't be repeated.

--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -216,6 +216,7 @@
         register(wire.Go, self._owner.on_go)
         register(wire.Cancel, self._owner.on_cancel)
         register(wire.Resume, self._owner.on_resume)
+        register(wire.ReplyReceived, self._owner.on_reply_received)
         register(wire.CrashNotice, self._crash_quarantine.on_notice)
         register(wire.ListAgeRequest, self._list_age_query.on_request)
         register(wire.ListAge, self._list_age_query.on_answer)
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -51,6 +51,8 @@
             budget, if the next run fails.
         nested: Whether the node's own worker may have made it while running
             another request.
+        route: Name of its route.
+        started_at: When the request arrived, monotonic, in s.
     """
 
     request: wire.Request
@@ -68,6 +70,8 @@
     repeats: bool = False
     may_repeat: bool = False
     nested: bool = False
+    route: str = ""
+    started_at: float = 0.0
 
     @property
     def is_keyed(self) -> bool:
@@ -91,6 +95,11 @@
     reply: wire.Reply | None = None
     load: wire.Load | msgspec.UnsetType = msgspec.UNSET
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether a worker answered without a server error."""
+        return self.reply is not None and self.reply.status < 500
+
     @property
     def wait_s(self) -> float:
         """Time until the owner would probably accept a request, in s."""
@@ -98,6 +107,13 @@
             return 0.0
         return self.load.wait_ms / 1000
 
+    @property
+    def call_wait_s(self) -> float | None:
+        """Time that a further nested request would wait, in s, if known."""
+        if isinstance(self.load, msgspec.UnsetType):
+            return None
+        return self.load.call_wait_ms / 1000
+
 
 class Attempt:
     """Offers a job to one owner and waits for the result."""
--- a/packages/node/src/sardinedoor_node/ingress/exchanges.py
+++ b/packages/node/src/sardinedoor_node/ingress/exchanges.py
@@ -12,6 +12,9 @@
 from typing import TYPE_CHECKING
 import weakref
 
+from sardinedoor_node.owner import replywindow
+from sardinedoor_schema.generated import wire
+
 if TYPE_CHECKING:
     from sardinedoor_node import link
     from sardinedoor_node import metrics
@@ -96,6 +99,8 @@
                 correlation id of the exchange.
         """
         self._last_message_at[channel] = self._clock.monotonic()
+        if replywindow.is_long(message):
+            channel.send(wire.ReplyReceived(message.id))
         exchange = self._open.get(message.id)
         if exchange is None:
             self._metrics.dropped("late")
--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.admission import calltree
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import strategy
 
@@ -77,6 +78,7 @@
         repeated_runs: Callable[[], int],
         counters: metrics.Metrics,
         time: clock.Clock,
+        calls: calltree.CallTree | None = None,
     ):
         """Creates a forwarder.
 
@@ -89,7 +91,9 @@
                 worker is running after another worker may have run them.
             counters: Counts the results of offers by result code.
             time: Source of the monotonic time.
+            calls: Learns how the calls of the node's own worker fare.
         """
+        self._calls = calls or calltree.CallTree()
         self._fleet = fleet
         self._picker = picker
         self._strategy = strategy.OfferStrategy(picker, counters)
@@ -113,6 +117,7 @@
         now = self._clock.monotonic()
         # Only callers' requests add to the retry allowance.
         if job.nested:
+            self._calls.call_started(job.service)
             budget.record_call(now, self._repeated_runs())
         else:
             budget.record_request(now)
@@ -206,6 +211,7 @@
             if task.cancelled():
                 # Another offer of the race got a slot first.
                 continue
+            self._report_wait(request.job, task.result(), now)
             self._strategy.record(
                 request.job,
                 progress,
@@ -215,3 +221,9 @@
                 bool(pending),
                 now,
             )
+
+    def _report_wait(
+        self, job: attempt.Job, result: attempt.ForwardResult, now: float
+    ) -> None:
+        if job.nested and result.call_wait_s is not None:
+            self._calls.report_wait(job.service, result.call_wait_s, now)
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from sardinedoor_node import metrics
     from sardinedoor_node import published
+    from sardinedoor_node.admission import calltree
+    from sardinedoor_node.ingress import buffers
     from sardinedoor_node.ingress import dialect
     from sardinedoor_node.ingress import nesting
     from sardinedoor_node.organisations import accounts
@@ -52,10 +54,11 @@
         counters: metrics.Metrics,
         time: clock.Clock,
         rng: random.Random,
-        max_connections: int,
+        limits: buffers.BufferLimits,
         nested_calls: nesting.NestedCallDetector,
         quotas: keeper.QuotaKeeper,
         apply_s: float,
+        calls: calltree.CallTree,
     ):
         """Builds the server; no listener is open yet.
 
@@ -66,11 +69,13 @@
             counters: Counts results and measures durations.
             time: The clock.
             rng: Splits requests by weight, and spreads retries of callers.
-            max_connections: Largest number of open connections.
+            limits: What is held for callers at most.
             nested_calls: Detects calls by the node's own worker.
             quotas: Lets requests in under the quotas of their organisations.
             apply_s: Time in which a published change must be in force, in s.
+            calls: Learns how the calls of the node's own worker fare.
         """
+        self._calls = calls
         self._catalog = published_catalog
         self._forwarder = forwarder
         self._dialect = caller_dialect
@@ -83,7 +88,7 @@
         self._apply_s = apply_s
         self._routes: hosts.HostRoutes | None = None
         self._organisations: registry.OrganisationRegistry | None = None
-        self._server = server.Server(self, counters, time, max_connections)
+        self._server = server.Server(self, counters, time, limits)
         published_catalog.on_change(self._on_catalog_change)
 
     @property
@@ -167,7 +172,13 @@
             result = await self._forward_within_quota(
                 request, request_id, progress
             )
+        if progress.nested and not result.succeeded:
+            self._calls.call_failed(self._clock.monotonic())
         self._respond(request, request_id, result, progress.free_at)
+        if result.reply is not None:
+            # It was copied to the connection. Reference cycles would keep it
+            # until the next garbage collection.
+            result.reply.body = b""
         duration_s = self._clock.monotonic() - started_at
         self._metrics.result(result.code)
         self._metrics.observe_request_duration(duration_s)
@@ -273,9 +284,21 @@
             priority=priority,
             objective_s=route.objective_s,
             max_runs=route.max_runs,
-            nested=self._nested_calls.record_arrival(route.name),
+            nested=self._is_nested(request, route),
+            route=route.name,
+            started_at=now,
         )
 
+    def _is_nested(
+        self, request: requests.Request, route: published.Route
+    ) -> bool:
+        """Returns whether the node's own worker probably made a request.
+
+        Workers have no keys.
+        """
+        may_be_nested = self._nested_calls.record_arrival(route.name)
+        return may_be_nested and request.organisation is None
+
     def _pick_service(self, route: published.Route) -> str:
         """Picks a service at random by the weights of the route's services."""
         if len(route.services) == 1:
@@ -295,6 +318,7 @@
         reply = result.reply
         if reply is not None:
             fields = responses.reply_headers(reply)
+            self._server.reserve_response(request, len(reply.body))
             responses.write(request, reply.status, fields, reply.body)
             return
         retry_after_s = self._retry_delays.delay_s(
--- a/packages/node/src/sardinedoor_node/ingress/listener.py
+++ b/packages/node/src/sardinedoor_node/ingress/listener.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.ingress import buffers
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import headers
 from sardinedoor_node.ingress import paths
@@ -53,7 +54,11 @@
         self._routes = routes.RouteTable([])
         self.starting = True
         self._server = server.Server(
-            self, counters, time, max_connections, tls_context
+            self,
+            counters,
+            time,
+            buffers.BufferLimits(max_connections),
+            tls_context,
         )
         settings_store.on_team_change(self._on_team_change)
 
@@ -186,6 +191,7 @@
             response_headers[headers.TARGET] = result.worker
         if self._server.draining:
             request.connection.close_after_response()
+        self._server.reserve_response(request, len(body))
         responses.write(request, status, response_headers, body)
 
 
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -158,7 +158,9 @@
     exchange_id: bytes,
     time: clock.Clock,
 ) -> wire.Offer:
-    remaining_s = job.deadline - time.monotonic()
+    now = time.monotonic()
+    remaining_s = job.deadline - now
+    objective_s = job.started_at + job.objective_s - now
     return wire.Offer(
         id=exchange_id,
         service=choice.target.service,
@@ -176,4 +178,8 @@
         rotation=choice.rotation.value,
         repeats=job.repeats,
         may_repeat=job.may_repeat,
+        acknowledges=True,
+        nested=job.nested,
+        route="" if job.nested else job.route,
+        objective_ms=max(0, int(objective_s * 1000)) if job.route else 0,
     )
--- a/packages/node/src/sardinedoor_node/ingress/reader.py
+++ b/packages/node/src/sardinedoor_node/ingress/reader.py
@@ -37,10 +37,17 @@
             requests are refused.
         state: Its current phase.
         state_since: When that phase began, monotonic, in s.
+        body_bytes: Bytes of a request body that has been read in part.
+        body_progress_at: When a part of it was last read, monotonic, in s.
     """
 
     __slots__ = (
         "_clock",
+        "_response_bytes",
+        "_sending_from",
+        "_sending_since",
+        "body_bytes",
+        "body_progress_at",
         "over_limit",
         "public",
         "remote_ip",
@@ -63,6 +70,40 @@
         self.over_limit = False
         self.state = State.HANDSHAKE
         self.state_since = self._clock.monotonic()
+        self.body_bytes = 0
+        self.body_progress_at = self.state_since
+        self._sending_since = self.state_since
+        self._sending_from = 0
+        self._response_bytes = 0
+
+    def record_body_part(self, count: int) -> None:
+        """Records that a part of a request body was read."""
+        self.body_bytes += count
+        self.body_progress_at = self._clock.monotonic()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held for a response that isn't sent whole.
+
+        The buffer of a response is released only when all of it was sent.
+        """
+        is_sending = self.stream.unsent_bytes and not self.stream.closed()
+        return self._response_bytes if is_sending else 0
+
+    def begin_sending(self, count: int) -> None:
+        """Records that a response is about to be written.
+
+        Args:
+            count: Length of the response, in bytes.
+        """
+        self._response_bytes = count
+        self._sending_since = self._clock.monotonic()
+        self._sending_from = self.stream.sent_bytes
+
+    def sending_rate(self, now: float) -> float:
+        """Returns how fast the caller takes the response, in bytes/s."""
+        sent = self.stream.sent_bytes - self._sending_from
+        return sent / max(now - self._sending_since, 1e-3)
 
     @property
     def idle(self) -> bool:
@@ -108,6 +149,7 @@
             self._connection.remote_ip,
             isinstance(self._connection.stream, stream.TlsCallerStream),
         )
+        request.caller_connection = self._connection
         self._request = request
         request.refusal = self._server.check(self._connection, request)
         length = headers.get("Content-Length", "")
@@ -123,14 +165,18 @@
         if not self._server.reserve_body_bytes(len(chunk)):
             raise heads.HeadError(codes.Code.BODIES_OVER_LIMIT)
         self._chunks += chunk
+        self._connection.record_body_part(len(chunk))
 
     def finish(self) -> None:
         """See base class."""
         assert self._request is not None
         self._request.body = bytes(self._chunks)
+        self._connection.body_bytes = 0
         self._connection.enter_state(State.SERVING)
         self._server.start_request(self._request, len(self._chunks))
 
     def on_connection_close(self) -> None:
         """See base class."""
-        self._server.release_body_bytes(len(self._chunks))
+        # It is 0 if the body was displaced and so is released already.
+        self._server.release_body_bytes(self._connection.body_bytes)
+        self._connection.body_bytes = 0
--- a/packages/node/src/sardinedoor_node/ingress/requests.py
+++ b/packages/node/src/sardinedoor_node/ingress/requests.py
@@ -14,6 +14,7 @@
     from sardinedoor_node import published
     from sardinedoor_node.ingress import connection
     from sardinedoor_node.ingress import paths
+    from sardinedoor_node.ingress import reader
     from sardinedoor_node.ingress import routes
     from sardinedoor_schema import codes
 
@@ -36,6 +37,8 @@
         route: The route that matches it.
         body: The whole body.
         organisation: Organisation on whose behalf it is made, if known.
+        caller_connection: State of the connection, for the limits on what is
+            held for callers; None in tests.
     """
 
     connection: connection.RequestConnection
@@ -50,6 +53,7 @@
     route: routes.Route | None = None
     body: bytes = b""
     organisation: published.Organisation | None = None
+    caller_connection: reader.CallerConnection | None = None
 
 
 class Handler(abc.ABC):
--- a/packages/node/src/sardinedoor_node/ingress/server.py
+++ b/packages/node/src/sardinedoor_node/ingress/server.py
@@ -13,6 +13,7 @@
 from tornado import netutil
 
 from sardinedoor_node.ingress import acceptor
+from sardinedoor_node.ingress import buffers
 from sardinedoor_node.ingress import connection
 from sardinedoor_node.ingress import reader
 from sardinedoor_node.ingress import requests
@@ -27,7 +28,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_TOTAL_BODY_BYTES = 16 * 1024 * 1024
 HEAD_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 75.0
@@ -37,6 +37,8 @@
 # further ones are closed without a response.
 _MAX_REFUSED_CONNECTIONS = 64
 _STREAM_BUFFER_BYTES = 256 * 1024
+# Shorter responses fit into the socket's buffer.
+_SMALL_RESPONSE_BYTES = 16 * 1024
 _BACKLOG = 1024
 
 
@@ -48,7 +50,7 @@
         handler: requests.Handler,
         counters: metrics.Metrics,
         time: clock.Clock,
-        max_connections: int,
+        limits: buffers.BufferLimits,
         tls_context: tls.TlsContext | None = None,
     ):
         """Creates a server without listeners.
@@ -57,15 +59,14 @@
             handler: Checks and serves the requests.
             counters: Counts the requests and connections refused here.
             time: The clock, for the timeouts.
-            max_connections: Largest number of open connections whose requests
-                are served.
+            limits: What is held for callers at most.
             tls_context: TLS context of the public listeners; None if they use
                 plain HTTP.
         """
         self._handler = handler
         self._metrics = counters
         self._clock = time
-        self._max_connections = max_connections
+        self._limits = limits
         self._tls = tls_context
         self._acceptors: list[acceptor.Acceptor] = []
         self._connections: set[reader.CallerConnection] = set()
@@ -128,7 +129,9 @@
     def _on_accepted(
         self, accepted: socket.socket, remote_ip: str, public: bool
     ) -> None:
-        limit = self._max_connections
+        limit = self._limits.connections
+        while self.connection_count >= limit and self._close_longest_idle():
+            pass
         if self.connection_count >= limit + _MAX_REFUSED_CONNECTIONS:
             self._metrics.result(codes.Code.TOO_MANY_CONNECTIONS)
             accepted.close()
@@ -144,6 +147,16 @@
             self._serve_connection(caller_connection), "connection"
         )
 
+    def _close_longest_idle(self) -> bool:
+        """Closes the longest idle connection; returns False if there is none."""
+        idle = buffers.longest_idle(self._connections, self._clock.monotonic())
+        if idle is None:
+            return False
+        self._metrics.event("idle_connection_displaced")
+        idle.stream.close_gracefully()
+        self._connections.discard(idle)
+        return True
+
     def _make_stream(
         self, accepted: socket.socket, public: bool
     ) -> stream.CallerStream:
@@ -220,8 +233,16 @@
         Returns:
             Whether the limit for all bodies together allows it.
         """
-        if self._body_bytes + count > MAX_TOTAL_BODY_BYTES:
-            return False
+        while self._body_bytes + count > self._limits.body_bytes:
+            stalled = buffers.most_stalled_body(
+                self._connections, self._clock.monotonic()
+            )
+            if stalled is None:
+                return False
+            self._metrics.event("stalled_body_displaced")
+            self.release_body_bytes(stalled.body_bytes)
+            stalled.body_bytes = 0
+            stalled.stream.refuse(codes.Code.REQUEST_TOO_SLOW)
         self._body_bytes += count
         return True
 
@@ -233,6 +254,39 @@
         """
         self._body_bytes -= count
 
+    def reserve_response(self, request: requests.Request, count: int) -> None:
+        """Makes room for a response that is about to be written.
+
+        The callers that receive their responses most slowly are disconnected
+        if the responses that aren't sent yet would exceed their limit.
+
+        Args:
+            request: The request that is answered.
+            count: Length of the response, in bytes.
+        """
+        own = request.caller_connection
+        if own is not None:
+            own.begin_sending(count)
+        if count < _SMALL_RESPONSE_BYTES:
+            return
+        others = [c for c in self._connections if c is not own]
+        held = sum(c.held_bytes for c in others)
+        excess = held + count - self._limits.unsent_bytes
+        if excess <= 0:
+            return
+        for slow in buffers.slowest_receivers(
+            others, excess, self._clock.monotonic()
+        ):
+            self._metrics.event("slow_receiver_closed")
+            logger.warning(
+                "slow receiver closed",
+                extra={
+                    "held_bytes": slow.held_bytes,
+                    "limit_bytes": self._limits.unsent_bytes,
+                },
+            )
+            slow.stream.close()
+
     def start_request(
         self, request: requests.Request, reserved_bytes: int
     ) -> None:
--- a/packages/node/src/sardinedoor_node/ingress/stream.py
+++ b/packages/node/src/sardinedoor_node/ingress/stream.py
@@ -59,6 +59,16 @@
         self._on_refused = on_refused
         super().__init__(accepted, max_buffer_size=max_buffer_size)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written that the peer's side hasn't taken yet."""
+        return self._total_write_index - self._total_write_done_index
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes that the peer's side has taken since the connection opened."""
+        return self._total_write_done_index
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """See base class."""
         count = super().read_from_fd(buf)
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -54,6 +54,8 @@
         on_decision: Called once the decision on a queued request is made.
         max_wait_s: Longest time that it may wait, in s; None if the admission
             limits it.
+        nested: Whether a worker made it while running another request. Work is
+            lost if it isn't served, so it goes before the others.
     """
 
     cells: tuple[int, ...]
@@ -67,6 +69,12 @@
     granted_at: float = 0.0
     on_decision: Callable[[], None] | None = None
     max_wait_s: float | None = None
+    nested: bool = False
+
+    @property
+    def urgency(self) -> tuple[bool, int]:
+        """Rank among the requests that wait; the greatest is served first."""
+        return (self.nested, self.priority)
 
 
 class Admission:
@@ -132,6 +140,7 @@
         deadline: float,
         now: float,
         max_wait_s: float | None = None,
+        nested: bool = False,
     ) -> Waiter:
         """Grants a slot, queues the request or refuses it.
 
@@ -143,6 +152,7 @@
             max_wait_s: Longest time that the request may wait, in s. It is
                 refused at once if it would probably wait longer. None leaves
                 the limit to the admission.
+            nested: Whether a worker made the request while running another one.
 
         Returns:
             The waiter; its decision may still be pending.
@@ -156,6 +166,7 @@
             now,
             self._last_sequence,
             max_wait_s=max_wait_s,
+            nested=nested,
         )
         if not self._queue and self._can_grant(now):
             self._last_empty_at = now
@@ -171,6 +182,10 @@
         """Returns how long a further request would probably wait, in s."""
         return self._expected_wait_s(len(self._queue), now)
 
+    def expected_call_wait_s(self, now: float) -> float:
+        """Returns how long a further nested request would wait, in s."""
+        return self._expected_wait_s(sum(w.nested for w in self._queue), now)
+
     def _expected_wait_s(self, ahead: int, now: float) -> float:
         """Returns how long a request would wait behind others, in s."""
         wait_s = self.rate_limiter.delay_s(ahead + 1, now)
@@ -276,9 +291,9 @@
             return False
         own_s = self._usage.usage_s(waiter.cells, now)
         victim = max(self._queue, key=lambda w: self._rank(w, now))
-        if victim.priority < waiter.priority:
+        if victim.urgency < waiter.urgency:
             code = codes.Code.QUEUE_FULL
-        elif victim.priority > waiter.priority:
+        elif victim.urgency > waiter.urgency:
             return False
         elif (
             self._usage.usage_s(victim.cells, now) > _OVER_SHARE_FACTOR * own_s
@@ -308,9 +323,14 @@
             return codes.Code.ORGANISATION_OVER_SHARE
         return codes.Code.QUEUE_FULL
 
-    def _rank(self, waiter: Waiter, now: float) -> tuple[int, float, int]:
+    def _rank(self, waiter: Waiter, now: float) -> tuple[bool, int, float, int]:
         usage_s = self._usage.usage_s(waiter.cells, now)
-        return (-waiter.priority, usage_s, waiter.sequence)
+        return (
+            not waiter.nested,
+            -waiter.priority,
+            usage_s,
+            waiter.sequence,
+        )
 
     def _can_grant(self, now: float) -> bool:
         """Returns whether a slot is free and the rate limit admits a request."""
--- a/packages/node/src/sardinedoor_node/owner/breaker.py
+++ b/packages/node/src/sardinedoor_node/owner/breaker.py
@@ -15,6 +15,7 @@
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
+    from sardinedoor_node.admission import calltree
     from sardinedoor_node.util import clock
     from sardinedoor_schema.generated import wire
 
@@ -26,6 +27,10 @@
 # A request that isn't idempotent can't be repeated if it fails, so it is
 # admitted only on recent evidence that the worker is healthy.
 MAX_UNREPEATABLE_PROBABILITY = 0.2
+# A nested request can be repeated, but the run that made it is lost if both fail. It is
+# admitted unless there is evidence against the worker: this lies just above the
+# probability of a worker of which nothing is known.
+MAX_NESTED_PROBABILITY = 0.35
 # A worker that refuses more of the requests sent to it gets no more of them than
 # trials, and requests that no other worker takes.
 MAX_REFUSAL_SHARE = 0.3
@@ -73,14 +78,19 @@
     """
 
     def __init__(
-        self, failure_model: markovfilter.FailureModel, time: clock.Clock
+        self,
+        failure_model: markovfilter.FailureModel,
+        time: clock.Clock,
+        calls: calltree.CallTree | None = None,
     ):
         """Starts at the prior probability of failure.
 
         Args:
             failure_model: Rates at which targets begin to fail and recover.
             time: The clock.
+            calls: Calls that the worker makes; None if they aren't known.
         """
+        self._calls = calls
         self._clock = time
         self._filter = markovfilter.FailureFilter(
             failure_model, time.monotonic()
@@ -98,6 +108,8 @@
         limit = MAX_UNREPEATABLE_PROBABILITY
         if offer.may_repeat:
             limit = OPEN_PROBABILITY
+            if offer.nested:
+                limit = MAX_NESTED_PROBABILITY
         if failing_probability < limit and refusal_share < MAX_REFUSAL_SHARE:
             return True
         rotation = worker.Rotation(offer.rotation)
@@ -166,10 +178,18 @@
                 self._next_trial_at = min(
                     self._next_trial_at, now + TRIAL_CONFIRM_S
                 )
-        else:
+        elif not self._is_explained(reply, now):
             self._filter.record_failure(now)
         self._log_transition(reply.code.name.lower())
 
+    def _is_explained(self, reply: target.TargetReply, now: float) -> bool:
+        """Returns whether the run failed since a call that it made failed."""
+        return (
+            reply.code == codes.Code.ANSWERED
+            and self._calls is not None
+            and self._calls.take_failed_call(now)
+        )
+
     def _log_transition(self, reason: str) -> None:
         failing_probability = self._filter.failing_probability(
             self._clock.monotonic()
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -9,6 +9,7 @@
 import msgspec
 import result
 
+from sardinedoor_node.admission import calltree
 from sardinedoor_node.owner import dialect
 from sardinedoor_node.owner import finished
 from sardinedoor_node.owner import holds
@@ -16,6 +17,7 @@
 from sardinedoor_node.owner import ledger
 from sardinedoor_node.owner import offerids
 from sardinedoor_node.owner import openexchange
+from sardinedoor_node.owner import replywindow
 from sardinedoor_node.util import digests
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import codes
@@ -56,6 +58,7 @@
         counters: metrics.Metrics,
         time: clock.Clock,
         target_dialect: dialect.TargetDialect | None = None,
+        calls: calltree.CallTree | None = None,
     ):
         """Starts without exchanges.
 
@@ -69,9 +72,12 @@
             time: The clock.
             target_dialect: Translates requests and responses for targets;
                 plain HTTP by default.
+            calls: Learns which calls the runs of the workers make.
         """
+        self._calls = calls or calltree.CallTree()
         self._dialect = target_dialect or dialect.PlainDialect()
         self._exchanges: dict[bytes, openexchange.Exchange] = {}
+        self._reply_windows = replywindow.ReplyWindows()
         self._finished = finished.FinishedExchanges(time)
         self._incarnation = incarnation
         self._workers = local
@@ -166,6 +172,12 @@
         else:
             self._holds.cancel(cancel.id)
 
+    def on_reply_received(
+        self, channel: link.Channel, message: wire.ReplyReceived
+    ) -> None:
+        """Lets the next long reply go to an ingress."""
+        self._reply_windows.on_acknowledged(channel, message)
+
     def on_resume(self, channel: link.Channel, resume: wire.Resume) -> None:
         """Answers an ingress whose link was lost during an exchange.
 
@@ -200,7 +212,14 @@
                 code = codes.Code.INTERNAL_ERROR_AFTER_RUN
             message = exchange.refuse(code)
         self._finished.add(exchange.offer.id, message)
-        exchange.channel.send(message)
+        try:
+            if exchange.offer.acknowledges and replywindow.is_long(message):
+                await self._reply_windows.send(exchange.channel, message)
+            else:
+                exchange.channel.send(message)
+        finally:
+            if exchange.reply_memory is not None:
+                exchange.reply_memory.end()
 
     async def _process(
         self, exchange: openexchange.Exchange
@@ -322,6 +341,7 @@
         sent_at = self._clock.monotonic()
         self._in_flight += 1
         self._repeated_in_flight += offer.repeats
+        self._calls.run_started(offer.id, offer.route)
         reply = None
         try:
             reply = await worker.client.run(
@@ -330,8 +350,10 @@
         finally:
             if reply is None or not reply.status:
                 self._abandoned_at = self._clock.monotonic()
+            self._calls.run_ended(offer.id)
             self._in_flight -= 1
             self._repeated_in_flight -= offer.repeats
+        exchange.reply_memory = reply.memory
         worker.observe_reply(reply, sent_at, self._clock.monotonic())
         await self._record_run_end(
             offer.service, worker, fingerprint, reply.code
--- a/packages/node/src/sardinedoor_node/owner/openexchange.py
+++ b/packages/node/src/sardinedoor_node/owner/openexchange.py
@@ -12,6 +12,7 @@
     import asyncio
 
     from sardinedoor_node import link
+    from sardinedoor_node.owner import replymemory
     from sardinedoor_schema import codes
 
 
@@ -25,6 +26,7 @@
         ticket: Ticket that the `Go` named; empty before.
         run_started: Whether the request may have been sent to the worker.
         task: Task that runs the exchange, once it is started.
+        reply_memory: Memory of the worker's response, released once it is sent.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self.ticket = b""
         self.run_started = False
         self.task: asyncio.Task | None = None
+        self.reply_memory: replymemory.ReplyShare | None = None
 
     @property
     def can_be_cancelled(self) -> bool:
--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -16,10 +16,13 @@
 from sardinedoor_node.owner import announcements
 from sardinedoor_node.owner import connections
 from sardinedoor_node.owner import dialect
+from sardinedoor_node.owner import replymemory
 from sardinedoor_node.util import octets
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from sardinedoor_schema.generated import wire
 
 CONNECT_TIMEOUT_S = 0.5
@@ -61,6 +64,7 @@
         headers: Headers of the response.
         body: Body of the response.
         announcement: What the worker announces in the headers.
+        memory: Memory of the body; to be released once it is handed over.
     """
 
     code: codes.Code
@@ -73,6 +77,7 @@
     announcement: announcements.Announcement = dataclasses.field(
         default_factory=announcements.Announcement
     )
+    memory: replymemory.ReplyShare | None = None
 
 
 class _ResponseCollector(httputil.HTTPMessageDelegate):
@@ -81,9 +86,11 @@
     Attributes:
         finished: Whether the response is complete.
         must_close: Whether the connection can't be reused.
+        memory: Memory of its body.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, share: replymemory.ReplyShare) -> None:
+        self.memory = share
         self.status = 0
         self.headers = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -98,8 +105,10 @@
         self.status = start_line.code
         self.headers = headers
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self.chunks.append(chunk)
+        # The connection isn't read on until there is memory.
+        return self.memory.reserve(len(chunk))
 
     def finish(self) -> None:
         self.finished = True
@@ -152,6 +161,7 @@
         self._port = int(port)
         self._address = address
         self._pool = connections.ConnectionPool()
+        self.reply_memory = replymemory.ReplyMemory(math.inf)
         self._slow_until = 0.0
 
     @property
@@ -272,6 +282,7 @@
             next_response = http1connection.HTTP1Connection(
                 stream, True, _PARAMETERS
             )
+            collector.memory.end()
             # No request is written on this one. Without `finish`, reading
             # would wait until one is.
             next_response.finish()
@@ -305,11 +316,14 @@
         self, connection: http1connection.HTTP1Connection
     ) -> _ResponseCollector:
         stream = connection.stream
-        collector = _ResponseCollector()
+        collector = _ResponseCollector(self.reply_memory.begin())
         try:
             await connection.read_response(collector)
         except (OSError, iostream.StreamClosedError, httputil.HTTPInputError):
             collector.finished = False
+        finally:
+            if not collector.finished:
+                collector.memory.end()
         if collector.finished and not _has_explicit_end(collector):
             # Tornado treats a connection reset as the end of the response.
             collector.finished = stream.error is None
@@ -330,6 +344,7 @@
     ) -> TargetReply:
         stream = connection.stream
         if not collector.finished:
+            collector.memory.end()
             stream.close()
             if collector.status:
                 return TargetReply(codes.Code.REPLY_TRUNCATED)
@@ -348,6 +363,7 @@
             headers=collector.headers,
             body=b"".join(collector.chunks),
             announcement=self._dialect.announcement(collector.headers),
+            memory=collector.memory,
         )
 
     async def is_listening(self) -> bool:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -193,7 +193,12 @@
         if not isinstance(offer.wait_ms, msgspec.UnsetType):
             max_wait_s = offer.wait_ms / 1000
         waiter = self._admission.request(
-            offer.organisation, offer.priority, deadline, now, max_wait_s
+            offer.organisation,
+            offer.priority,
+            deadline,
+            now,
+            max_wait_s,
+            offer.nested,
         )
         if waiter.decision is admission.Decision.WAITING:
             await self._wait_for_decision(waiter, time)
@@ -247,6 +252,9 @@
             queued=self._admission.queued,
             latency_us=int(self._admission.service_time_s * 1_000_000),
             wait_ms=math.ceil(1000 * self._admission.expected_wait_s(now)),
+            call_wait_ms=math.ceil(
+                1000 * self._admission.expected_call_wait_s(now)
+            ),
             unheard=self.announced.unheard,
             leaving=self.announced.is_leaving(now),
         )
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -17,7 +17,9 @@
 from sardinedoor_node import metrics
 from sardinedoor_node.admin import metricspage
 from sardinedoor_node.admin import ready
+from sardinedoor_node.admission import calltree
 from sardinedoor_node.health import markovfilter
+from sardinedoor_node.ingress import buffers
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import handler
@@ -34,6 +36,7 @@
 from sardinedoor_node.owner import crashnotices
 from sardinedoor_node.owner import exchange
 from sardinedoor_node.owner import quarantine
+from sardinedoor_node.owner import replymemory
 from sardinedoor_node.owner import target
 from sardinedoor_node.owner import workers
 from sardinedoor_node.picking import leastcost
@@ -56,6 +59,8 @@
 
 _INCARNATION_BYTES = 16
 _MAX_CONNECTIONS = 2_000
+# Part of the memory for the responses that are being read from the worker.
+_REPLY_MEMORY_SHARE = 0.08
 # Callers poll the readiness page every second and stop using a node after two
 # failures.
 _READINESS_NOTICE_S = 2.4
@@ -101,6 +106,8 @@
         apply_s: Time in which a published change must be in force, in s.
         retry_rules: Limits on retries.
         quota_rules: Terms of the quotas of organisations.
+        memory_mb: Memory that the process may use, in MB; 0 if unknown.
+        descriptors: Descriptors that it may open; 0 if unknown.
     """
 
     name: str
@@ -117,6 +124,8 @@
     quota_rules: accounts.QuotaRules = dataclasses.field(
         default_factory=accounts.QuotaRules
     )
+    memory_mb: int = 0
+    descriptors: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -181,6 +190,7 @@
             follower.ReadTimes.within(settings.apply_s),
         )
         failure_model = markovfilter.FailureModel()
+        self._calls = calltree.CallTree()
         self._owner = self._make_owner(incarnation, failure_model)
         self._handler = self._make_handler(incarnation, failure_model)
         self._drain = drain.ReadinessDrain(
@@ -194,9 +204,14 @@
         self, incarnation: bytes, failure_model: markovfilter.FailureModel
     ) -> exchange.Owner:
         settings = self._settings
+        reply_memory = replymemory.ReplyMemory(
+            _REPLY_MEMORY_SHARE * settings.memory_mb * 1024 * 1024 or math.inf
+        )
 
         def make_worker(name: str, service: str) -> workers.LocalWorker:
-            gate = breaker.CircuitBreaker(failure_model, self._clock)
+            gate = breaker.CircuitBreaker(
+                failure_model, self._clock, self._calls
+            )
             client = target.TargetClient(
                 settings.worker_address,
                 self._adapters.target_dialect,
@@ -204,6 +219,7 @@
                 float("inf"),
             )
             client.max_idle = _MAX_IDLE_CONNECTIONS
+            client.reply_memory = reply_memory
             worker_settings = settings_schema.WorkerSettings(
                 service, settings.worker_address
             )
@@ -240,11 +256,13 @@
             self._metrics,
             self._clock,
             self._adapters.target_dialect,
+            self._calls,
         )
         self._transport.on_message(wire.Offer, owner.on_offer)
         self._transport.on_message(wire.Go, owner.on_go)
         self._transport.on_message(wire.Cancel, owner.on_cancel)
         self._transport.on_message(wire.Resume, owner.on_resume)
+        self._transport.on_message(wire.ReplyReceived, owner.on_reply_received)
         return owner
 
     def _make_handler(
@@ -287,6 +305,7 @@
             lambda: self._owner.repeated_in_flight,
             self._metrics,
             self._clock,
+            self._calls,
         )
         self._quotas = keeper.QuotaKeeper(
             settings.link_address,
@@ -307,10 +326,13 @@
             self._metrics,
             self._clock,
             self._rng,
-            _MAX_CONNECTIONS,
+            buffers.BufferLimits.for_machine(
+                _MAX_CONNECTIONS, settings.memory_mb, settings.descriptors
+            ),
             nesting.NestedCallDetector(self._owner.may_be_running),
             self._quotas,
             settings.apply_s,
+            self._calls,
         )
 
     def _account_nodes(self) -> list[str]:
--- a/packages/schema/src/sardinedoor_schema/frames.py
+++ b/packages/schema/src/sardinedoor_schema/frames.py
@@ -33,6 +33,7 @@
     17: wire.ListAgeRequest,
     18: wire.ListAge,
     19: wire.Resume,
+    24: wire.ReplyReceived,
     20: wire.MemberPull,
     21: wire.MemberBodies,
     22: wire.SettingsPull,
--- a/tests/test_ingress/test_ingress_caller.py
+++ b/tests/test_ingress/test_ingress_caller.py
@@ -8,6 +8,7 @@
 
 import testtools
 
+from sardinedoor_node.ingress import buffers
 from sardinedoor_node.ingress import server
 from sardinedoor_schema.generated import wire
 from sardinedoor_standins import loopback
@@ -193,7 +194,7 @@
         self._run(case, max_connections=4)
 
     def test_total_size_of_bodies_is_limited(self):
-        self.patch(server, "MAX_TOTAL_BODY_BYTES", _MIB)
+        self.patch(buffers, "MAX_TOTAL_BODY_BYTES", _MIB)
 
         async def case(ingress: loopback.LoopbackIngress) -> None:
             first = await ingress.open()
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -30,6 +30,8 @@
     _C.BODIES_OVER_LIMIT,
     _C.NO_ROUTE,
     _C.METHOD_NOT_ALLOWED,
+    _C.CREDENTIAL_UNKNOWN,
+    _C.CREDENTIAL_UNVERIFIED,
     _C.NODE_STARTING,
 }
 # Returned by a target dialect or by the entry for published routes, whose own
@@ -45,6 +47,7 @@
 _LIMIT_CODES = {
     _C.RETRY_BUDGET_SPENT,
     _C.ORGANISATION_OVER_SHARE,
+    _C.QUOTA_EXCEEDED,
 }
 
 
