Refuse requests whose calls lack slots; extra work against slow answers

Cause: a run whose call finds no slot fails after its caller has waited, and nothing related the two services.

--- a/packages/node/src/sardinedoor_node/admission/calltree.py
+++ b/packages/node/src/sardinedoor_node/admission/calltree.py
@@ -14,14 +14,21 @@
 
 # Weight of the newest run in the mean number of calls.
 _CALLS_WEIGHT = 0.05
+# A service that is called less often is probably called by other runs.
+_MIN_CALLS = 0.1
 # Time constant with which older reports of a service's wait lose weight, in s.
 _WAIT_MEMORY_S = 1.0
 # A wait that wasn't reported again for this long says nothing any more, in s.
 _WAIT_TTL_S = 3.0
 # A run ends at most this long after the call that made it fail, in s.
 _FAILURE_DELAY_S = 0.3
-# Part of the time that a request can spare which its calls may wait for slots.
-_WAIT_SHARE = 0.5
+# Requests are refused once their calls wait for the first of these parts of the longest
+# time that they may wait, more and more up to the second, so that the nodes in front of a
+# service don't all stop and start at the same moment.
+_TOLERATED_WAIT_SHARE = 0.4
+_FULL_WAIT_SHARE = 0.8
+# Some requests are always let in, since only calls tell how long calls wait.
+_MAX_REFUSED_SHARE = 0.95
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,10 +53,12 @@
     Attributes:
         mean_s: The mean, in s.
         reported_at: When it was last reported, monotonic, in s.
+        limit_s: Longest time that a call may wait, in s.
     """
 
     mean_s: float
     reported_at: float
+    limit_s: float
 
 
 class CallTree:
@@ -114,43 +123,64 @@
         failed.popleft()
         return True
 
-    def report_wait(self, service: str, wait_s: float, now: float) -> None:
+    def report_wait(
+        self, service: str, wait_s: float, limit_s: float, now: float
+    ) -> None:
         """Records how long a call would wait for a slot of a service.
 
         Args:
             service: The service.
             wait_s: The wait as an owner estimates it, in s.
+            limit_s: Longest time that a call may wait, in s.
             now: Monotonic time, in s.
         """
         wait = self._waits.get(service)
         if wait is None or now - wait.reported_at > _WAIT_TTL_S:
-            self._waits[service] = _Wait(wait_s, now)
+            self._waits[service] = _Wait(wait_s, now, limit_s)
             return
         # A report just after another one adds little.
         weight = 1 - math.exp(-(now - wait.reported_at) / _WAIT_MEMORY_S)
         wait.mean_s += max(weight, _CALLS_WEIGHT) * (wait_s - wait.mean_s)
         wait.reported_at = now
+        wait.limit_s = limit_s
 
-    def wait_s(self, route: str, now: float) -> float:
-        """Returns how long the calls of a request would wait, in s.
+    def refusal_share(self, route: str, now: float) -> float:
+        """Returns the share of a route's requests to refuse, 0 to 1.
 
         Args:
-            route: Name of the request's route.
+            route: Name of the route.
             now: Monotonic time, in s.
         """
-        total_s = 0.0
-        for service, calls in self._calls_per_run.get(route, {}).items():
-            wait = self._waits.get(service)
-            if wait is not None and now - wait.reported_at <= _WAIT_TTL_S:
-                total_s += calls * wait.mean_s
-        return total_s
+        shares = [
+            _refused_share(wait) for wait in self._waits_below(route, now)
+        ]
+        return min(max(shares, default=0.0), _MAX_REFUSED_SHARE)
 
-    def admits(self, route: str, spare_s: float, now: float) -> bool:
-        """Returns whether the calls of a request can probably be served.
+    def wait_s(self, route: str, now: float) -> float:
+        """Returns the longest wait of a route's calls for a slot, in s.
 
         Args:
-            route: Name of the request's route.
-            spare_s: Time that the request can spare beside its run, in s.
+            route: Name of the route.
             now: Monotonic time, in s.
         """
-        return self.wait_s(route, now) <= _WAIT_SHARE * spare_s
+        waits = self._waits_below(route, now)
+        return max((wait.mean_s for wait in waits), default=0.0)
+
+    def _waits_below(self, route: str, now: float) -> list[_Wait]:
+        """Lists the known waits at the services that a route calls."""
+        calls = self._calls_per_run.get(route, {})
+        return [
+            wait
+            for service, wait in self._waits.items()
+            if calls.get(service, 0.0) > _MIN_CALLS
+            and now - wait.reported_at <= _WAIT_TTL_S
+        ]
+
+
+def _refused_share(wait: _Wait) -> float:
+    """Returns the share of requests to refuse for a wait, 0 to 1."""
+    part = wait.mean_s / max(wait.limit_s, 1e-3)
+    excess = part - _TOLERATED_WAIT_SHARE
+    return min(
+        1.0, max(0.0, excess / (_FULL_WAIT_SHARE - _TOLERATED_WAIT_SHARE))
+    )
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -49,8 +49,9 @@
         repeats: Whether another worker may be running it or have run it.
         may_repeat: Whether it may run again, within its limits and the retry
             budget, if the next run fails.
-        nested: Whether the node's own worker may have made it while running
-            another request.
+        may_be_nested: Whether the node's own worker may have made it while
+            running another request, so that it adds no retry allowance.
+        nested: Whether the worker has certainly made it.
         route: Name of its route.
         started_at: When the request arrived, monotonic, in s.
     """
@@ -69,6 +70,7 @@
     may_have_started: bool = False
     repeats: bool = False
     may_repeat: bool = False
+    may_be_nested: bool = False
     nested: bool = False
     route: str = ""
     started_at: float = 0.0
@@ -107,13 +109,6 @@
             return 0.0
         return self.load.wait_ms / 1000
 
-    @property
-    def call_wait_s(self) -> float | None:
-        """Time that a further nested request would wait, in s, if known."""
-        if isinstance(self.load, msgspec.UnsetType):
-            return None
-        return self.load.call_wait_ms / 1000
-
 
 class Attempt:
     """Offers a job to one owner and waits for the result."""
--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -9,6 +9,7 @@
 from sardinedoor_node.admission import calltree
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import strategy
+from sardinedoor_node.limits import hedging
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,6 +80,7 @@
         counters: metrics.Metrics,
         time: clock.Clock,
         calls: calltree.CallTree | None = None,
+        hedges: hedging.HedgePolicy | None = None,
     ):
         """Creates a forwarder.
 
@@ -92,7 +94,9 @@
             counters: Counts the results of offers by result code.
             time: Source of the monotonic time.
             calls: Learns how the calls of the node's own worker fare.
+            hedges: Allows extra work against slow answers; none by default.
         """
+        self._hedges = hedges or hedging.HedgePolicy()
         self._calls = calls or calltree.CallTree()
         self._fleet = fleet
         self._picker = picker
@@ -100,6 +104,7 @@
         self._offer_sender = offer_sender
         self._budgets = budgets
         self._repeated_runs = repeated_runs
+        self._metrics = counters
         self._clock = time
 
     async def forward(
@@ -118,10 +123,13 @@
         # Only callers' requests add to the retry allowance.
         if job.nested:
             self._calls.call_started(job.service)
+        if job.may_be_nested:
             budget.record_call(now, self._repeated_runs())
         else:
             budget.record_request(now)
         request = _Request(job, progress, budget)
+        if job.idempotent:
+            self._hedges.request_started(job.service)
         try:
             while not progress.answered:
                 if not request.in_flight or progress.hedge_pending:
@@ -134,6 +142,11 @@
                         continue
                 await self._wait_for_offers(request)
         finally:
+            self._report_wait(job, progress)
+            if progress.answered:
+                self._hedges.answered(
+                    job.route, self._clock.monotonic() - progress.started_at
+                )
             for task in request.in_flight:
                 task.cancel()
 
@@ -177,8 +190,15 @@
     ) -> attempt.ForwardResult:
         failing_probability = self._picker.failing_probability(choice.target)
         started_at = self._clock.monotonic()
+
+        def claim() -> bool:
+            request.progress.slot_granted(self._clock.monotonic())
+            return race.claim()
+
+        if race is None:
+            request.progress.slot_granted(started_at)
         result = await self._offer_sender.send(
-            request.job, choice, wait_s, race.claim if race else None
+            request.job, choice, wait_s, claim if race else None
         )
         request.progress.offer_records.append(
             requestprogress.OfferRecord(
@@ -194,24 +214,28 @@
     async def _wait_for_offers(self, request: _Request) -> None:
         """Waits until an offer ends or a hedge is due."""
         progress = request.progress
+        regular_s = self._strategy.hedge_delay_s(
+            request.job, progress, len(request.in_flight)
+        )
+        early_s = None
+        if regular_s is not None and not progress.early_hedge_decided:
+            early_s = self._early_hedge_delay_s(request, regular_s)
         done, pending = await asyncio.wait(
             request.in_flight,
-            timeout=self._strategy.hedge_delay_s(
-                request.job, progress, len(request.in_flight)
-            ),
+            timeout=regular_s if early_s is None else early_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
         now = self._clock.monotonic()
         if not done:
-            progress.hedge_decided = True
-            progress.hedge_pending = request.budget.withdraw(now, rerun=True)
+            self._decide_hedge(request, early_s is not None, now)
             return
         for task in done:
             choice = request.in_flight.pop(task)
+            if not task.cancelled() and strategy.is_shortage(task.result()):
+                self._hedges.lacked_slot(request.job.service, now)
             if task.cancelled():
                 # Another offer of the race got a slot first.
                 continue
-            self._report_wait(request.job, task.result(), now)
             self._strategy.record(
                 request.job,
                 progress,
@@ -222,8 +246,47 @@
                 now,
             )
 
+    def _early_hedge_delay_s(
+        self, request: _Request, regular_s: float
+    ) -> float | None:
+        """Returns the time until a request counts as slow on its route, in s.
+
+        Returns:
+            The time; None if that isn't before the regular hedge.
+        """
+        slow_s = self._hedges.delay_s(request.job.route)
+        if slow_s is None:
+            return None
+        passed_s = self._clock.monotonic() - request.progress.started_at
+        early_s = max(0.0, slow_s - passed_s)
+        return early_s if early_s < regular_s else None
+
+    def _decide_hedge(
+        self, request: _Request, is_early: bool, now: float
+    ) -> None:
+        progress = request.progress
+        if is_early:
+            progress.early_hedge_decided = True
+            if not self._hedges.take(request.job.service, now):
+                return
+            self._metrics.event("hedged_early")
+        progress.hedge_decided = True
+        progress.hedge_pending = request.budget.withdraw(now, rerun=True)
+
     def _report_wait(
-        self, job: attempt.Job, result: attempt.ForwardResult, now: float
+        self, job: attempt.Job, progress: requestprogress.Progress
     ) -> None:
-        if job.nested and result.call_wait_s is not None:
-            self._calls.report_wait(job.service, result.call_wait_s, now)
+        """Reports how long a call has waited for a slot."""
+        if not job.nested:
+            return
+        limit_s = strategy.longest_wait_s(job)
+        wait_s = limit_s
+        if progress.answered or progress.may_have_run:
+            # Without a queue, the time went into refusals for other reasons than
+            # the lack of slots.
+            wait_s = progress.slot_wait_s if progress.waited else 0.0
+        elif not strategy.lacked_slot(progress):
+            return
+        self._calls.report_wait(
+            job.service, wait_s, limit_s, self._clock.monotonic()
+        )
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -172,7 +172,7 @@
             result = await self._forward_within_quota(
                 request, request_id, progress
             )
-        if progress.nested and not result.succeeded:
+        if progress.is_call and not result.succeeded:
             self._calls.call_failed(self._clock.monotonic())
         self._respond(request, request_id, result, progress.free_at)
         if result.reply is not None:
@@ -212,7 +212,8 @@
     ) -> attempt.ForwardResult:
         route = request.route
         job = self._build_job(request, route, progress.started_at)
-        progress.nested = job.nested
+        progress.nested = job.may_be_nested
+        progress.is_call = job.nested
         task = asyncio.get_running_loop().create_task(
             self._forwarder.forward(job, progress)
         )
@@ -264,6 +265,10 @@
             timeout_s = min(timeout_s, caller_timeout_s)
         organisation = request.organisation
         name = organisation.name if organisation else ""
+        may_be_nested = (
+            self._nested_calls.record_arrival(route.name)
+            and organisation is None
+        )
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
@@ -284,20 +289,20 @@
             priority=priority,
             objective_s=route.objective_s,
             max_runs=route.max_runs,
-            nested=self._is_nested(request, route),
+            may_be_nested=may_be_nested,
+            nested=may_be_nested and self._is_call(request, route),
             route=route.name,
             started_at=now,
         )
 
-    def _is_nested(
+    def _is_call(
         self, request: requests.Request, route: published.Route
     ) -> bool:
-        """Returns whether the node's own worker probably made a request.
-
-        Workers have no keys.
-        """
-        may_be_nested = self._nested_calls.record_arrival(route.name)
-        return may_be_nested and request.organisation is None
+        """Returns whether the node's own worker has certainly made a request."""
+        if self._organisations is not None:
+            # Workers have no keys, unlike callers of these routes.
+            return request.organisation is None
+        return self._nested_calls.is_certain(route.name)
 
     def _pick_service(self, route: published.Route) -> str:
         """Picks a service at random by the weights of the route's services."""
--- a/packages/node/src/sardinedoor_node/ingress/nesting.py
+++ b/packages/node/src/sardinedoor_node/ingress/nesting.py
@@ -13,6 +13,10 @@
 # smaller share of its calls than this arrives then; workers are idle for a
 # larger share of the time.
 _IDLE_SHARE = 0.04
+# A route is certainly used by the worker alone once this many of its arrivals would have
+# met an idle worker if callers had made them, and a quarter of that have.
+_MIN_EXPECTED_IDLE = 3.0
+_MAX_IDLE_PART = 0.25
 
 
 class NestedCallDetector:
@@ -26,14 +30,21 @@
     nothing to the retry budget.
     """
 
-    def __init__(self, may_be_running: Callable[[], bool]):
+    def __init__(
+        self,
+        may_be_running: Callable[[], bool],
+        idle_share: Callable[[], float],
+    ):
         """Starts without any arrivals.
 
         Args:
             may_be_running: Returns whether the node's worker may be running a
                 request.
+            idle_share: Returns the share of the time in which the worker ran
+                no request.
         """
         self._may_be_running = may_be_running
+        self._idle_share = idle_share
         self._arrivals: collections.Counter[str] = collections.Counter()
         self._idle_arrivals: collections.Counter[str] = collections.Counter()
 
@@ -51,3 +62,15 @@
             self._idle_arrivals[route] += 1
         arrivals = self._arrivals[route]
         return self._idle_arrivals[route] < _IDLE_SHARE * arrivals
+
+    def is_certain(self, route: str) -> bool:
+        """Returns whether only the node's worker uses a route.
+
+        Args:
+            route: Name of the route.
+        """
+        expected = self._arrivals[route] * self._idle_share()
+        return (
+            expected >= _MIN_EXPECTED_IDLE
+            and self._idle_arrivals[route] < _MAX_IDLE_PART * expected
+        )
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -158,9 +158,7 @@
     exchange_id: bytes,
     time: clock.Clock,
 ) -> wire.Offer:
-    now = time.monotonic()
-    remaining_s = job.deadline - now
-    objective_s = job.started_at + job.objective_s - now
+    remaining_s = job.deadline - time.monotonic()
     return wire.Offer(
         id=exchange_id,
         service=choice.target.service,
@@ -181,5 +179,4 @@
         acknowledges=True,
         nested=job.nested,
         route="" if job.nested else job.route,
-        objective_ms=max(0, int(objective_s * 1000)) if job.route else 0,
     )
--- a/packages/node/src/sardinedoor_node/ingress/requestprogress.py
+++ b/packages/node/src/sardinedoor_node/ingress/requestprogress.py
@@ -51,6 +51,7 @@
         free_at: When one of the busy owners would probably take a further
             request, monotonic, in s; infinite if none told.
         nested: Whether it counts as a call of the node's own worker.
+        is_call: Whether the node's own worker has certainly made it.
         link_was_down: Whether an owner's link wasn't open.
         waited: Whether it was offered to owners' queues.
         last_resorts: Names of the workers tried though probably failing.
@@ -59,6 +60,10 @@
         stopped: Whether no more offers may be made.
         hedge_decided: Whether the time for a hedge has come and it was allowed
             or denied; this happens at most once for each request.
+        slot_wait_s: Time from its arrival to the last offer that got a slot or
+            was sent with the request, in s.
+        early_hedge_decided: Whether extra work for a slow answer was allowed or
+            denied.
         hedge_pending: Whether the retry budget allowed the hedge and its
             offer hasn't been made yet.
     """
@@ -75,6 +80,7 @@
     ejected_count: int = 0
     free_at: float = math.inf
     nested: bool = False
+    is_call: bool = False
     link_was_down: bool = False
     waited: bool = False
     last_resorts: set[str] = dataclasses.field(default_factory=set)
@@ -82,7 +88,13 @@
     answered: bool = False
     stopped: bool = False
     hedge_decided: bool = False
+    early_hedge_decided: bool = False
     hedge_pending: bool = False
+    slot_wait_s: float = 0.0
+
+    def slot_granted(self, now: float) -> None:
+        """Records that an owner holds a slot, or is sent the request."""
+        self.slot_wait_s = now - self.started_at
 
     def result(self) -> attempt.ForwardResult:
         """Returns the combined result of all offers.
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -44,6 +44,9 @@
 # Share of the latency objective during which a request may wait for a slot. A
 # run that begins later would probably end after the objective.
 SLOT_WAIT_SHARE = 0.45
+# Share of the time until its deadline during which a nested request may wait for a
+# slot. The run that made it can wait for longer than the call's own objective.
+NESTED_WAIT_SHARE = 0.5
 # Share of the latency objective during which a request is offered again to an
 # owner whose link wasn't open.
 LINK_WAIT_SHARE = 0.3
@@ -79,7 +82,11 @@
 )
 # The request is not offered to other owners after these codes.
 _FINAL_REFUSALS = frozenset(
-    {codes.Code.QUARANTINED, codes.Code.DEADLINE_EXPIRED}
+    {
+        codes.Code.QUARANTINED,
+        codes.Code.DEADLINE_EXPIRED,
+        codes.Code.CALLED_SERVICE_FULL,
+    }
 )
 
 
@@ -130,7 +137,11 @@
         """
         if progress.stopped or progress.offer_count >= MAX_OFFERS:
             return Step()
-        is_late = 0 < job.objective_s < now - progress.started_at
+        is_late = (
+            0
+            < max(job.objective_s, longest_wait_s(job))
+            < (now - progress.started_at)
+        )
         if is_late and not progress.may_have_run:
             # No owner has accepted it in this time, so it is refused while
             # its caller can still try elsewhere.
@@ -193,7 +204,7 @@
         progress: requestprogress.Progress,
         now: float,
     ) -> Step:
-        latest = progress.started_at + SLOT_WAIT_SHARE * job.objective_s
+        latest = progress.started_at + longest_wait_s(job)
         wait_s = min(latest, job.deadline) - now
         if wait_s <= 0:
             return Step()
@@ -257,6 +268,8 @@
             progress.free_at = min(progress.free_at, now + result.wait_s)
         if code in _FREE_REFUSALS or code in _NO_SLOT_REFUSALS:
             return
+        if code is codes.Code.CALLED_SERVICE_FULL:
+            progress.free_at = now + result.wait_s
         if codes.outcome(code) is codes.Outcome.NOT_RUN:
             progress.stopped = code in _FINAL_REFUSALS or (
                 code in _WORKER_REFUSALS
@@ -280,3 +293,21 @@
         )
         if repeatable and progress.stopped:
             self._metrics.event("retry_budget_spent")
+
+
+def is_shortage(result: attempt.ForwardResult) -> bool:
+    """Returns whether an offer was refused for lack of a slot."""
+    return result.code in _NO_SLOT_REFUSALS
+
+
+def lacked_slot(progress: requestprogress.Progress) -> bool:
+    """Returns whether a request was refused in the end for lack of a slot."""
+    return is_shortage(progress.last_result)
+
+
+def longest_wait_s(job: attempt.Job) -> float:
+    """Returns how long a request may wait for a slot after its arrival, in s."""
+    wait_s = SLOT_WAIT_SHARE * job.objective_s
+    if not job.nested:
+        return wait_s
+    return max(wait_s, NESTED_WAIT_SHARE * (job.deadline - job.started_at))
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.limits import ratelimit
+from sardinedoor_node.limits import rootshare
 from sardinedoor_node.limits import usage
 from sardinedoor_node.limits import waitshares
 from sardinedoor_schema import codes
@@ -106,6 +107,7 @@
         self._service_time_s = 0.0
         self._last_empty_at = 0.0
         self._wait_shares = waitshares.WaitShares()
+        self._root_share = rootshare.RootShare()
         self.rate_limiter = ratelimit.RateLimiter()
 
     @property
@@ -235,7 +237,7 @@
         if waiter.decision is not Decision.WAITING:
             return
         self.withdraw(waiter, now)
-        self._wait_shares.wait_ended(waiter.priority, False)
+        self._wait_shares.wait_ended(waiter.urgency, False)
 
     def withdraw(self, waiter: Waiter, now: float) -> None:
         """Refuses a queued request that its ingress no longer waits for.
@@ -263,6 +265,7 @@
             self.rate_limiter.give_back(now)
         served_s = now - waiter.granted_at
         self._usage.add(waiter.cells, served_s - waiter.charged_s, now)
+        self._root_share.add(waiter.nested, served_s - waiter.charged_s, now)
         if self._service_time_s == 0.0:
             self._service_time_s = served_s
         self._service_time_s += _SERVICE_TIME_WEIGHT * (
@@ -274,12 +277,15 @@
         if len(self._queue) >= self._slots * _MAX_QUEUED_PER_SLOT:
             return False
         own = self._rank(waiter, now)
-        ahead = sum(1 for w in self._queue if self._rank(w, now) < own)
+        queue = self._queue
+        if not waiter.nested and self._root_share.is_short(now):
+            queue = [w for w in queue if not w.nested]
+        ahead = sum(1 for w in queue if self._rank(w, now) < own)
         wait_s = self._expected_wait_s(ahead, now)
         left_s = waiter.deadline - now - self._service_time_s
         limit_s = self.wait_left_s(waiter, now)
         if waiter.max_wait_s is not None:
-            limit_s *= self._wait_shares.share(waiter.priority)
+            limit_s *= self._wait_shares.share(waiter.urgency)
         return wait_s <= min(limit_s, left_s)
 
     def _displace(self, waiter: Waiter, now: float) -> bool:
@@ -290,7 +296,12 @@
         ):
             return False
         own_s = self._usage.usage_s(waiter.cells, now)
-        victim = max(self._queue, key=lambda w: self._rank(w, now))
+        candidates = self._queue
+        if waiter.nested and self._root_share.is_short(now):
+            candidates = [w for w in candidates if w.nested]
+        if not candidates:
+            return False
+        victim = max(candidates, key=lambda w: self._rank(w, now))
         if victim.urgency < waiter.urgency:
             code = codes.Code.QUEUE_FULL
         elif victim.urgency > waiter.urgency:
@@ -302,7 +313,7 @@
         else:
             return False
         self._queue.remove(victim)
-        self._wait_shares.wait_ended(victim.priority, False)
+        self._wait_shares.wait_ended(victim.urgency, False)
         self._refuse(victim, code)
         return True
 
@@ -341,15 +352,21 @@
 
     def _grant_free_slots(self, now: float) -> None:
         while self._queue and self._can_grant(now):
-            waiter = min(self._queue, key=lambda w: self._rank(w, now))
+            waiter = self._next_waiter(now)
             self._queue.remove(waiter)
             if self._is_expired(waiter, now):
                 self._refuse(waiter, self._expiry_code(waiter, now))
             else:
                 self._grant(waiter, now)
-                self._wait_shares.wait_ended(waiter.priority, True)
+                self._wait_shares.wait_ended(waiter.urgency, True)
         self._record_empty_queue(now)
 
+    def _next_waiter(self, now: float) -> Waiter:
+        waiting = self._queue
+        if self._root_share.is_short(now):
+            waiting = [w for w in waiting if not w.nested] or waiting
+        return min(waiting, key=lambda w: self._rank(w, now))
+
     def _is_expired(self, waiter: Waiter, now: float) -> bool:
         if waiter.deadline - now <= self._service_time_s / 2:
             return True
@@ -370,6 +387,7 @@
         waiter.granted_at = now
         waiter.charged_s = self._service_time_s
         self._usage.add(waiter.cells, waiter.charged_s, now)
+        self._root_share.add(waiter.nested, waiter.charged_s, now)
         waiter.decision = Decision.GRANTED
         if waiter.on_decision is not None:
             waiter.on_decision()
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -75,6 +76,7 @@
             calls: Learns which calls the runs of the workers make.
         """
         self._calls = calls or calltree.CallTree()
+        self._rng = random.Random()
         self._dialect = target_dialect or dialect.PlainDialect()
         self._exchanges: dict[bytes, openexchange.Exchange] = {}
         self._reply_windows = replywindow.ReplyWindows()
@@ -93,6 +95,9 @@
                 key_placement, ledger.Ledger(time), time
             )
         self._in_flight = 0
+        self._started_at = time.monotonic()
+        self._idle_since = self._started_at
+        self._idle_s = 0.0
         self._abandoned_at = -math.inf
         self._repeated_in_flight = 0
         self.leaving = False
@@ -112,6 +117,14 @@
         abandoned_s = self._clock.monotonic() - self._abandoned_at
         return abandoned_s < _ABANDONED_RUN_S
 
+    def idle_share(self) -> float:
+        """Returns the share of the time in which the workers ran nothing."""
+        now = self._clock.monotonic()
+        idle_s = self._idle_s
+        if not self._in_flight:
+            idle_s += now - self._idle_since
+        return idle_s / max(now - self._started_at, 1e-3)
+
     @property
     def repeated_in_flight(self) -> int:
         """Number of requests in flight that repeat an earlier run.
@@ -254,6 +267,8 @@
             return self._refuse(exchange, worker, codes.Code.WORKER_DRAINED)
         if not worker.admits(exchange.offer):
             return self._refuse(exchange, worker, codes.Code.TARGET_EJECTED)
+        if self._lacks_room_below(exchange.offer):
+            return self._refuse_for_calls(exchange, worker)
         waiter = await worker.acquire_slot(
             exchange.offer, exchange.deadline, self._clock
         )
@@ -270,6 +285,23 @@
         finally:
             worker.release_slot(waiter, self._clock, exchange.run_started)
 
+    def _lacks_room_below(self, offer: wire.Offer) -> bool:
+        """Decides whether the calls of a request would probably be refused."""
+        if not offer.route:
+            return False
+        share = self._calls.refusal_share(offer.route, self._clock.monotonic())
+        return share > 0 and self._rng.random() < share
+
+    def _refuse_for_calls(
+        self, exchange: openexchange.Exchange, worker: workers.LocalWorker
+    ) -> wire.Refusal:
+        """Returns a refusal with the wait at the service that is called."""
+        now = self._clock.monotonic()
+        load = worker.load(now)
+        wait_s = self._calls.wait_s(exchange.offer.route, now)
+        load.wait_ms = max(load.wait_ms, math.ceil(1000 * wait_s))
+        return exchange.refuse(codes.Code.CALLED_SERVICE_FULL, load)
+
     def _refuse(
         self,
         exchange: openexchange.Exchange,
@@ -339,6 +371,8 @@
             request, offer.worker, remaining_s
         )
         sent_at = self._clock.monotonic()
+        if not self._in_flight:
+            self._idle_s += sent_at - self._idle_since
         self._in_flight += 1
         self._repeated_in_flight += offer.repeats
         self._calls.run_started(offer.id, offer.route)
@@ -352,6 +386,7 @@
                 self._abandoned_at = self._clock.monotonic()
             self._calls.run_ended(offer.id)
             self._in_flight -= 1
+            self._idle_since = self._clock.monotonic()
             self._repeated_in_flight -= offer.repeats
         exchange.reply_memory = reply.memory
         worker.observe_reply(reply, sent_at, self._clock.monotonic())
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -252,9 +252,6 @@
             queued=self._admission.queued,
             latency_us=int(self._admission.service_time_s * 1_000_000),
             wait_ms=math.ceil(1000 * self._admission.expected_wait_s(now)),
-            call_wait_ms=math.ceil(
-                1000 * self._admission.expected_call_wait_s(now)
-            ),
             unheard=self.announced.unheard,
             leaving=self.announced.is_leaving(now),
         )
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -27,6 +27,7 @@
 from sardinedoor_node.ingress import linkprober
 from sardinedoor_node.ingress import nesting
 from sardinedoor_node.ingress import offers
+from sardinedoor_node.limits import hedging
 from sardinedoor_node.limits import retrywindow
 from sardinedoor_node.link import zeromq
 from sardinedoor_node.organisations import accounts
@@ -108,6 +109,8 @@
         quota_rules: Terms of the quotas of organisations.
         memory_mb: Memory that the process may use, in MB; 0 if unknown.
         descriptors: Descriptors that it may open; 0 if unknown.
+        extra_share: Largest number of extra requests against slow answers for each
+            request that may be repeated; 0 for none.
     """
 
     name: str
@@ -126,6 +129,7 @@
     )
     memory_mb: int = 0
     descriptors: int = 0
+    extra_share: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -306,6 +310,7 @@
             self._metrics,
             self._clock,
             self._calls,
+            hedging.HedgePolicy(settings.extra_share),
         )
         self._quotas = keeper.QuotaKeeper(
             settings.link_address,
@@ -329,7 +334,9 @@
             buffers.BufferLimits.for_machine(
                 _MAX_CONNECTIONS, settings.memory_mb, settings.descriptors
             ),
-            nesting.NestedCallDetector(self._owner.may_be_running),
+            nesting.NestedCallDetector(
+                self._owner.may_be_running, self._owner.idle_share
+            ),
             self._quotas,
             settings.apply_s,
             self._calls,
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -154,7 +154,7 @@
             time.monotonic() + 2,
             objective_s=0.2,
             max_runs=max_runs,
-            nested=nested,
+            may_be_nested=nested,
         )
         progress = requestprogress.Progress(time.monotonic())
         async with asyncio.timeout(2):
--- a/tests/test_ingress/test_ingress_nesting.py
+++ b/tests/test_ingress/test_ingress_nesting.py
@@ -11,7 +11,10 @@
     def setUp(self):
         super().setUp()
         self.running = 0
-        self.detector = nesting.NestedCallDetector(lambda: self.running > 0)
+        self.idle_share = 0.3
+        self.detector = nesting.NestedCallDetector(
+            lambda: self.running > 0, lambda: self.idle_share
+        )
 
     def _arrive(self, route: str, times: int) -> bool:
         return [self.detector.record_arrival(route) for _ in range(times)][-1]
@@ -36,3 +39,16 @@
         self._arrive("registry", 1)
         self.running = 1
         self.assertTrue(self._arrive("registry", 30))
+
+    def test_nested_route_is_certain_once_callers_would_have_met_idleness(self):
+        self.running = 1
+        self._arrive("registry", 9)
+        self.assertFalse(self.detector.is_certain("registry"))
+        self._arrive("registry", 1)
+        self.assertTrue(self.detector.is_certain("registry"))
+
+    def test_no_route_is_certain_at_a_worker_that_is_always_busy(self):
+        self.running = 1
+        self.idle_share = 0.0
+        self._arrive("pay", 500)
+        self.assertFalse(self.detector.is_certain("pay"))
