--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -254,7 +254,8 @@
         Returns:
             The time; None if that isn't before the regular hedge.
         """
-        slow_s = self._hedges.delay_s(request.job.route)
+        job = request.job
+        slow_s = self._hedges.delay_s(job.route, job.objective_s)
         if slow_s is None:
             return None
         passed_s = self._clock.monotonic() - request.progress.started_at
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -46,7 +46,7 @@
 SLOT_WAIT_SHARE = 0.45
 # Share of the time until its deadline during which a nested request may wait for a
 # slot. The run that made it can wait for longer than the call's own objective.
-NESTED_WAIT_SHARE = 0.5
+NESTED_WAIT_SHARE = 0.7
 # Share of the latency objective during which a request is offered again to an
 # owner whose link wasn't open.
 LINK_WAIT_SHARE = 0.3
--- a/packages/node/src/sardinedoor_node/limits/hedging.py
+++ b/packages/node/src/sardinedoor_node/limits/hedging.py
@@ -16,6 +16,9 @@
 _SLOW_QUANTILE = 0.95
 _SAMPLES = 200
 _MIN_SAMPLES = 20
+# Part of the latency objective that counts as slow until there are so many samples: a
+# node of a large fleet sees few requests of each route.
+_INITIAL_OBJECTIVE_SHARE = 0.4
 # Extra requests that may follow one another without new requests between them.
 _MAX_SAVED = 5.0
 # A service counts as short of slots for this long after an owner had none, in s.
@@ -94,17 +97,21 @@
         """Records that an owner had no free slot for a request."""
         self._services[service].short_until = now + _SHORTAGE_S
 
-    def delay_s(self, route: str) -> float | None:
+    def delay_s(self, route: str, objective_s: float) -> float | None:
         """Returns after which time an answer counts as slow, in s.
 
         Args:
             route: Name of the route.
+            objective_s: Latency objective of its requests, in s.
 
         Returns:
-            The time; None if too little is known, or extra work isn't allowed.
+            The time; None if extra work isn't allowed.
         """
+        if self._extra_share <= 0:
+            return None
         latencies = self._latencies.get(route)
-        return latencies.slow_s() if latencies else None
+        slow_s = latencies.slow_s() if latencies else None
+        return slow_s or _INITIAL_OBJECTIVE_SHARE * objective_s
 
     def take(self, service: str, now: float) -> bool:
         """Takes one extra request from the limit; returns False at the limit.
--- a/packages/standins/src/sardinedoor_standins/treesim.py
+++ b/packages/standins/src/sardinedoor_standins/treesim.py
@@ -23,7 +23,7 @@
 _BOTTOM = "intake"
 _ASKED_OWNERS = 4
 _ROOT_PATIENCE_S = 1.5
-_CALL_PATIENCE_S = 1.5
+_CALL_PATIENCE_S = 2.1
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_limits/test_limits_hedging.py
+++ b/tests/test_limits/test_limits_hedging.py
@@ -20,7 +20,7 @@
         policy = self._policy(0.0)
         for _ in range(1000):
             policy.request_started("desk")
-        self.assertIsNone(policy.delay_s("view"))
+        self.assertIsNone(policy.delay_s("view", 1.0))
         self.assertFalse(policy.take("desk", 1.0))
 
     def test_extra_work_stays_within_the_limit(self):
@@ -49,12 +49,12 @@
     def test_delay_is_learned_for_each_route(self):
         policy = hedging.HedgePolicy(0.1)
         rng = random.Random(2)
-        self.assertIsNone(policy.delay_s("view"))
+        self.assertEqual(0.4, policy.delay_s("view", 1.0))
         for _ in range(300):
             policy.answered("view", rng.uniform(0.0, 1.0))
             policy.answered("lodge", rng.uniform(0.0, 10.0))
-        self.assertAlmostEqual(0.95, policy.delay_s("view"), delta=0.05)
-        self.assertAlmostEqual(9.5, policy.delay_s("lodge"), delta=0.5)
+        self.assertAlmostEqual(0.95, policy.delay_s("view", 1.0), delta=0.05)
+        self.assertAlmostEqual(9.5, policy.delay_s("lodge", 1.0), delta=0.5)
 
     def test_slowest_answers_are_cut(self):
         """One answer in twenty takes ten times as long."""
@@ -70,7 +70,7 @@
             first_s, second_s = latency_s(), latency_s()
             plain.append(first_s)
             policy.request_started("desk")
-            delay_s = policy.delay_s("view")
+            delay_s = policy.delay_s("view", 1.0)
             if delay_s and first_s > delay_s and policy.take("desk", 0.0):
                 extra += 1
                 first_s = min(first_s, delay_s + second_s)
