Give workers of unknown health requests, so that none is idle beside refusals

What may be repeated could not explore either: in the first window of a process the retry budget is nearly empty.

Change: nodes tell in digests that nothing is known of their worker, and the next request that may be repeated goes there; an owner without evidence and without a run admits what can't be repeated after three refusals; the first start of a fleet has the whole burst of the retry budget.

--- a/packages/node/src/sardinedoor_node/owner/breaker.py
+++ b/packages/node/src/sardinedoor_node/owner/breaker.py
@@ -34,6 +34,9 @@
 # A worker that refuses more of the requests sent to it gets no more of them than
 # trials, and requests that no other worker takes.
 MAX_REFUSAL_SHARE = 0.3
+# A worker of which nothing is known refuses this many requests that can't be repeated. The
+# next one is admitted: they would not come if better workers had room.
+MAX_UNPROVEN_REFUSALS = 3
 # While the breaker is open, idempotent trial requests are admitted at this
 # interval. A recovered target is recognised after a few of them.
 TRIAL_INTERVAL_S = 1.3
@@ -98,6 +101,8 @@
         self._refusals = refusalshare.RefusalShare(time.monotonic())
         self._mean_latency_s = 0.0
         self._next_trial_at = 0.0
+        self._running = 0
+        self._unproven_refusals = 0
         self._is_open = False
 
     def admits(self, offer: wire.Offer) -> bool:
@@ -115,11 +120,34 @@
         rotation = worker.Rotation(offer.rotation)
         if rotation is worker.Rotation.FLOOR:
             return True
-        if not offer.may_repeat or now < self._next_trial_at:
+        if not offer.may_repeat:
+            return self._admits_unproven()
+        if now < self._next_trial_at:
             return False
         self._next_trial_at = now + TRIAL_INTERVAL_S
         return True
 
+    def _admits_unproven(self) -> bool:
+        """Decides on a request that can't be repeated, without evidence."""
+        if not self.is_unproven() or self._running:
+            return False
+        self._unproven_refusals += 1
+        return self._unproven_refusals > MAX_UNPROVEN_REFUSALS
+
+    def is_unproven(self) -> bool:
+        """Returns whether there is no recent evidence of the worker's health.
+
+        Such a worker gets no request that can't be repeated.
+        """
+        failing_probability = self._filter.failing_probability(
+            self._clock.monotonic()
+        )
+        return (
+            MAX_UNREPEATABLE_PROBABILITY
+            <= failing_probability
+            < MAX_NESTED_PROBABILITY
+        )
+
     def annotate_load(self, name: str, load: wire.Load) -> None:
         """See base class."""
         now = self._clock.monotonic()
@@ -136,6 +164,8 @@
 
     def begin_run(self) -> _Run:
         """Records the start of a request."""
+        self._running += 1
+        self._unproven_refusals = 0
         run = _Run(self._clock.monotonic())
         late_s = max(_LATE_MIN_S, _LATE_FACTOR * self._mean_latency_s)
         loop = asyncio.get_running_loop()
@@ -154,6 +184,7 @@
             run: The value that `begin_run` returned.
             reply: The reply; None if the request was cancelled.
         """
+        self._running -= 1
         now = self._clock.monotonic()
         was_late = run.late_timer is None
         if run.late_timer is not None:
--- a/packages/node/src/sardinedoor_node/picking/leastcost.py
+++ b/packages/node/src/sardinedoor_node/picking/leastcost.py
@@ -42,6 +42,8 @@
 # The end of a limit is known only from a response, so a limit that wasn't reported
 # again for this long doesn't count.
 _RATE_LIMIT_TTL_S = 3.0
+# A node's word that nothing is known of its worker's health counts for this long.
+_UNPROVEN_TTL_S = 1.0
 # The load that an owner reported is outdated after this time.
 _LOAD_REPORT_TTL_S = 1.0
 _LOCAL_SAMPLE_SIZE = 4
@@ -87,6 +89,18 @@
         """
         super().__init__(rng, time, location)
         self._model = model
+        self._unproven_at: dict[str, float] = {}
+
+    def worker_unproven(self, node: str) -> None:
+        """Records that nothing is known of the health of a node's worker.
+
+        A request that may be repeated is sent there next, so that its owner can
+        admit others again.
+
+        Args:
+            node: Name of the node.
+        """
+        self._unproven_at[node] = self._clock.monotonic()
 
     def pick(
         self,
@@ -111,6 +125,10 @@
             return None
         failing_names = {t.worker for t in failing}
         healthy = [t for t in reachable if t.worker not in failing_names]
+        if idempotent and not tried and self._unproven_at:
+            unproven = self._take_unproven(healthy, now)
+            if unproven is not None:
+                return picking.Choice(unproven)
         sample = self._sample(healthy)
         return picking.Choice(
             min(sample, key=lambda t: self._cost(t, idempotent, now))
@@ -180,6 +198,16 @@
         local = [t for t in due if self._is_local(t)]
         return self._rng.choice(local or due) if due else None
 
+    def _take_unproven(
+        self, targets: list[table.Target], now: float
+    ) -> table.Target | None:
+        """Returns a target of unknown health, once for each word of its node."""
+        for target in targets:
+            at = self._unproven_at.pop(target.node, None)
+            if at is not None and now - at < _UNPROVEN_TTL_S:
+                return target
+        return None
+
     def _sample(self, targets: list[table.Target]) -> list[table.Target]:
         local = [t for t in targets if self._is_local(t)]
         remote = [t for t in targets if not self._is_local(t)]
--- a/packages/node/src/sardinedoor_node/published/antientropy.py
+++ b/packages/node/src/sardinedoor_node/published/antientropy.py
@@ -65,7 +65,8 @@
 class AntiEntropy:
     """Exchanges digests with random peers and transfers missing items.
 
-    A digest carries the revision of a node's replica. Within a failure domain
+    A digest carries the revision of a node's replica, and whether nothing is known
+    of its worker's health. Within a failure domain
     the newer node sends its items at once; between domains a pull is delayed.
     """
 
@@ -111,7 +112,11 @@
         )
         replica.on_change(self._push_digests)
         replica.on_contact(self._push_contact)
+        self._unproven_listeners = listeners.ListenerGroup(
+            "unproven worker", counters
+        )
         self.leaving = False
+        self.is_unproven: Callable[[], bool] = lambda: False
         register = transport.on_message
         register(wire.Digest, self._on_digest)
         register(wire.ItemsPull, self._on_pull)
@@ -136,6 +141,14 @@
         """
         self._digest_listeners.add(listener)
 
+    def on_unproven(self, listener: Callable[[str], None]) -> None:
+        """Registers a callback for each digest of a node with such a worker.
+
+        Args:
+            listener: Called with the sender's name.
+        """
+        self._unproven_listeners.add(listener)
+
     def request_digest(self, channel: link.Channel) -> None:
         """Asks a peer to answer with a digest, as a sign of life."""
         digest = self._make_digest()
@@ -198,6 +211,7 @@
             self._contact_ms(),
             self.leaving,
             inflates=True,
+            unproven=self.is_unproven(),
         )
 
     def _contact_ms(self) -> int:
@@ -210,6 +224,8 @@
         else:
             self._fleet.mark_serving(digest.link)
         self._digest_listeners.notify(digest.link, channel)
+        if digest.unproven:
+            self._unproven_listeners.notify(digest.link)
         if digest.ask:
             channel.send(self._make_digest())
         own = self._catalog.revision
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -111,6 +111,8 @@
         descriptors: Descriptors that it may open; 0 if unknown.
         extra_share: Largest number of extra requests against slow answers for each
             request that may be repeated; 0 for none.
+        first_start: Whether the whole fleet starts for the first time, so that no
+            earlier process has used up allowances.
     """
 
     name: str
@@ -130,6 +132,7 @@
     memory_mb: int = 0
     descriptors: int = 0
     extra_share: float = 0.0
+    first_start: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -236,6 +239,7 @@
                 _LEAVING_LEASE_S,
             )
             worker.gate = gate
+            self._anti_entropy.is_unproven = gate.is_unproven
             return worker
 
         worker_finder = colocated.ColocatedWorkerFinder(
@@ -285,6 +289,7 @@
             tracking.Location(settings.link_address, settings.failure_domain),
             failure_model,
         )
+        self._anti_entropy.on_unproven(picker.worker_unproven)
         self._link_prober = linkprober.LinkProber(
             picker.paths, self._anti_entropy, self._transport, self._clock
         )
@@ -303,7 +308,7 @@
             retrywindow.WindowedBudgets(
                 settings.retry_rules,
                 self._count_nodes,
-                self._clock.monotonic(),
+                -math.inf if settings.first_start else self._clock.monotonic(),
                 self._rng.random(),
             ),
             lambda: self._owner.repeated_in_flight,
--- a/tests/test_owner/test_owner_breaker.py
+++ b/tests/test_owner/test_owner_breaker.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from sardinedoor_node.admission import calltree
 from sardinedoor_node.health import markovfilter
 from sardinedoor_node.owner import breaker
 from sardinedoor_node.owner import target
@@ -55,6 +56,47 @@
         self.clock.now_s += breaker.TRIAL_INTERVAL_S
         self.assertTrue(self._admits(idempotent=True, may_repeat=True))
 
+    def test_worker_of_unknown_health_admits_one_request_after_refusals(self):
+        """All owners of a fleet that has just started refused, for seconds."""
+        answers = [self._admits() for _ in range(4)]
+        self.assertEqual([False, False, False, True], answers)
+
+        async def run() -> None:
+            run = self.gate.begin_run()
+            self.assertEqual([False] * 5, [self._admits() for _ in range(5)])
+            self.gate.end_run(run, _OK)
+
+        asyncio.run(run())
+        self.assertTrue(self._admits())
+
+    def test_failing_worker_admits_none_however_often_it_refuses(self):
+        self._run(_ERROR, _ERROR)
+        self.assertFalse(any(self._admits() for _ in range(20)))
+
+    def test_failed_call_is_not_the_workers_failure(self):
+        calls = calltree.CallTree()
+        self.gate = breaker.CircuitBreaker(
+            markovfilter.FailureModel(), self.clock, calls
+        )
+        self._run(_OK, _OK)
+        calls.call_failed(self.clock.monotonic())
+        self._run(_ERROR)
+        self.assertTrue(self._admits())
+        self._run(_ERROR)
+        self.assertFalse(self._admits())
+
+    def test_nested_request_keeps_off_a_worker_with_a_failure(self):
+        self.assertTrue(
+            self._admits(idempotent=True, may_repeat=True, nested=True)
+        )
+        self._run(_ERROR)
+        self.clock.now_s += 9.0
+        fields = {"idempotent": True, "may_repeat": True}
+        # The first one is the trial that is due.
+        self.assertTrue(self._admits(**fields, nested=True))
+        self.assertFalse(self._admits(**fields, nested=True))
+        self.assertTrue(self._admits(**fields))
+
     def test_last_resort_is_admitted(self):
         self._run(_ERROR, _ERROR, _ERROR)
         self.assertTrue(self._admits(rotation="floor"))
--- a/tests/test_picking/test_picking_leastcost.py
+++ b/tests/test_picking/test_picking_leastcost.py
@@ -294,3 +294,29 @@
             self._report(target, report)
             limit = self.ingress.picker.rate_limit(target)
             self.assertEqual(expected, limit.rate if limit else None)
+
+
+class UnprovenTargetTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ingress = _Ingress("a", 1)
+        self.pool = _targets(20, "ab")
+
+    def test_word_of_a_node_brings_one_request_that_may_be_repeated(self):
+        picker = self.ingress.picker
+        picker.worker_unproven("n-7")
+        self.assertNotEqual(
+            "i-7", picker.pick(self.pool, set(), False).target.worker
+        )
+        self.assertEqual(
+            "i-7", picker.pick(self.pool, set(), True).target.worker
+        )
+        self.assertFalse(picker._unproven_at)
+
+    def test_old_word_says_nothing(self):
+        self.ingress.picker.worker_unproven("n-7")
+        self.ingress.time.now_s += 1.5
+        pool = [t for t in self.pool if t.failure_domain == "a"]
+        pool.append(self.pool[7])
+        choice = self.ingress.picker.pick(pool, set(), True)
+        self.assertNotEqual("i-7", choice.target.worker)
