Split the quota keeper; choose workers in the simulation as the product does

Reading the change as a newcomer: the keeper held both the messages and the view of which node is whose home; the latter is homefinder.py now. A relayed request is no sign of life of the node that it began at.

--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -137,11 +137,8 @@
         """
         if progress.stopped or progress.offer_count >= MAX_OFFERS:
             return Step()
-        is_late = (
-            0
-            < max(job.objective_s, longest_wait_s(job))
-            < (now - progress.started_at)
-        )
+        limit_s = max(job.objective_s, longest_wait_s(job))
+        is_late = 0 < limit_s < now - progress.started_at
         if is_late and not progress.may_have_run:
             # No owner has accepted it in this time, so it is refused while
             # its caller can still try elsewhere.
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -184,10 +184,6 @@
         """Returns how long a further request would probably wait, in s."""
         return self._expected_wait_s(len(self._queue), now)
 
-    def expected_call_wait_s(self, now: float) -> float:
-        """Returns how long a further nested request would wait, in s."""
-        return self._expected_wait_s(sum(w.nested for w in self._queue), now)
-
     def _expected_wait_s(self, ahead: int, now: float) -> float:
         """Returns how long a request would wait behind others, in s."""
         wait_s = self.rate_limiter.delay_s(ahead + 1, now)
--- a/packages/node/src/sardinedoor_node/organisations/keeper.py
+++ b/packages/node/src/sardinedoor_node/organisations/keeper.py
@@ -16,12 +16,11 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.organisations import accounts
-from sardinedoor_node.organisations import homes
+from sardinedoor_node.organisations import homefinder
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterator
     import random
 
     from sardinedoor_node import link
@@ -37,19 +36,10 @@
 # Longest wait for the answer of a node that may have to find out first that the home
 # doesn't answer, in s.
 _SUBSTITUTE_TIMEOUT_S = 0.5
-# Interval at which a node that takes the place of a home asks whether it is back, in
-# s. Until then both may grant.
-_HOME_PROBE_INTERVAL_S = 0.2
 # Time for a link to open, in s.
 _LINK_WAIT_S = 0.1
-# A node that didn't answer isn't asked again for this long, unless it is heard, in s.
-# The time doubles with each further failure.
-_SUSPICION_S = 2.0
-_MAX_SUSPICION_S = 30.0
 # Nodes that are asked before a node lets in its share of the tolerance.
 _MAX_CANDIDATES = 3
-# A node that heard from no other for this long is cut off, in s.
-_ISOLATION_S = 3.0
 # Longest time for which a refusal also holds for later requests, in s.
 _MAX_REFUSAL_S = 0.25
 _MAX_ID = 2**31
@@ -95,21 +85,6 @@
     local_share: accounts.LocalShare | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Suspicion:
-    """A node that didn't answer.
-
-    Attributes:
-        until: Until when it isn't asked, monotonic, in s.
-        duration_s: Length of the suspicion after its next failure, in s.
-        probed_at: When it was last asked whether it is back, monotonic, in s.
-    """
-
-    until: float = float("-inf")
-    duration_s: float = _SUSPICION_S
-    probed_at: float = float("-inf")
-
-
 class QuotaKeeper:
     """Lets requests in under the quotas, and keeps the accounts of this home."""
 
@@ -141,7 +116,6 @@
             counters: Counts refusals and homes that don't answer.
         """
         self._own_name = own_name
-        self._members = members
         self._find_quota = find_quota
         self._rules = rules
         self._transport = transport
@@ -149,13 +123,9 @@
         self._clock = time
         self._rng = rng
         self._metrics = counters
-        self._ring = homes.HomeRing()
-        self._listed: list[str] = []
-        self._members_changed_at = time.monotonic()
+        self._homes = homefinder.HomeFinder(own_name, members, time)
         self._open: dict[str, _OpenAccount] = {}
         self._accounts: dict[str, accounts.Account] = {}
-        self._suspicions: dict[str, _Suspicion] = {}
-        self._heard_at = time.monotonic()
         self._answers: dict[int, asyncio.Future[wire.AllowanceGrant]] = {}
         self._last_id = rng.randrange(_MAX_ID)
         transport.on_message(wire.AllowanceRequest, self._on_request)
@@ -169,8 +139,7 @@
     def heard(self, name: str, channel: link.Channel | None = None) -> None:
         """Records a sign of life of another node."""
         del channel
-        self._heard_at = self._clock.monotonic()
-        self._suspicions.pop(name, None)
+        self._homes.heard(name)
 
     async def admit(
         self, organisation: str, quota: accounts.Quota
@@ -190,7 +159,7 @@
             account = self._open[organisation] = _OpenAccount(recent)
         if now < account.refused_until:
             return self._refuse(account, quota, now)
-        if self._is_own_home(organisation):
+        if self._homes.is_own(organisation):
             grant = self._grant(
                 organisation,
                 quota,
@@ -214,10 +183,10 @@
         now = self._clock.monotonic()
         recent = account.recent.total(now)
         account.recent.add(now, -1)
-        if self._is_own_home(organisation):
+        if self._homes.is_own(organisation):
             self._grant(organisation, quota, self._own_name, -1, recent)
             return
-        home = next(self._candidates(organisation), None)
+        home = next(self._homes.candidates(organisation), None)
         if home is not None:
             self._send(home, self._make_request(organisation, -1, recent))
 
@@ -301,25 +270,24 @@
             account.local_share = accounts.LocalShare(
                 self._rules, self._rng.random(), now
             )
-        nodes = max(1, len(self._listed))
         decisions = []
         for _ in range(count):
-            if account.local_share.take(quota, nodes, now):
+            if account.local_share.take(quota, self._homes.node_count, now):
                 account.recent.add(now)
                 decisions.append(_ADMITTED)
             else:
-                decisions.append(Admission(False, _SUSPICION_S))
+                decisions.append(Admission(False, homefinder.SUSPICION_S))
         return decisions
 
     async def _exchange(
         self, request: wire.AllowanceRequest
     ) -> accounts.Grant | None:
         """Asks the home and those that take its place; None if all fail."""
-        candidates = self._candidates(request.organisation)
-        home = self._ring.home(request.organisation)
+        candidates = self._homes.candidates(request.organisation)
+        home = self._homes.home(request.organisation)
         for _, name in zip(range(_MAX_CANDIDATES), candidates, strict=False):
             if name == self._own_name:
-                if self._is_isolated():
+                if self._homes.is_isolated:
                     return None
                 quota = self._find_quota(request.organisation)
                 if quota is None:
@@ -367,9 +335,7 @@
 
     def _suspect(self, name: str, reason: str) -> None:
         self._metrics.event(f"quota_home_{reason}")
-        suspicion = self._suspicions.setdefault(name, _Suspicion())
-        suspicion.until = self._clock.monotonic() + suspicion.duration_s
-        suspicion.duration_s = min(2 * suspicion.duration_s, _MAX_SUSPICION_S)
+        self._homes.suspect(name)
 
     def _on_grant(
         self, channel: link.Channel, grant: wire.AllowanceGrant
@@ -387,8 +353,9 @@
     def _on_request(
         self, channel: link.Channel, request: wire.AllowanceRequest
     ) -> None:
-        self.heard(request.node)
-        if request.relayed or self._is_own_home(request.organisation):
+        if not request.relayed:
+            self.heard(request.node)
+        if request.relayed or self._homes.is_own(request.organisation):
             self._answer(channel, request)
         else:
             self._tasks.spawn(self._relay(channel, request), "quota-relay")
@@ -425,7 +392,7 @@
         passed_on.node = request.node
         passed_on.relayed = True
         if request.wanted < 0:
-            home = next(self._candidates(request.organisation), None)
+            home = next(self._homes.candidates(request.organisation), None)
             if home is not None:
                 self._send(home, passed_on)
             return
@@ -444,61 +411,29 @@
         recent: float,
     ) -> accounts.Grant:
         now = self._clock.monotonic()
-        self._probe_home(organisation, now)
+        self._probe_home(organisation)
         account = self._accounts.get(organisation)
         if account is None:
             account = accounts.Account(
-                self._rules, quota, now, self._is_settled_home(organisation)
+                self._rules,
+                quota,
+                now,
+                self._homes.is_settled(organisation, self._rules.window_s),
             )
             self._accounts[organisation] = account
         return account.request(quota, node, wanted, recent, now)
 
-    def _probe_home(self, organisation: str, now: float) -> None:
+    def _probe_home(self, organisation: str) -> None:
         """Asks the home whether it is back, if this node takes its place."""
-        home = self._ring.home(organisation)
-        suspicion = self._suspicions.get(home)
-        if suspicion is None or now < suspicion.probed_at + (
-            _HOME_PROBE_INTERVAL_S
-        ):
+        home = self._homes.home_to_probe(organisation)
+        if home is None:
             return
-        suspicion.probed_at = now
         probe = self._make_request(organisation, 0, 0)
         probe.relayed = True
         self._tasks.spawn(
             self._ask(home, probe, _ANSWER_TIMEOUT_S), "quota-probe"
         )
 
-    # Which node is the home.
-
-    def _is_own_home(self, organisation: str) -> bool:
-        home = next(self._candidates(organisation), self._own_name)
-        return home == self._own_name and not self._is_isolated()
-
-    def _is_settled_home(self, organisation: str) -> bool:
-        """Returns whether no other node kept the account within a window."""
-        now = self._clock.monotonic()
-        if now - self._members_changed_at < self._rules.window_s:
-            return False
-        return self._ring.home(organisation) == self._own_name
-
-    def _candidates(self, organisation: str) -> Iterator[str]:
-        """Yields the nodes to ask, without those that are suspected."""
-        members = self._members()
-        if members is not self._listed:
-            self._listed = members
-            if self._ring.update(members):
-                self._members_changed_at = self._clock.monotonic()
-        now = self._clock.monotonic()
-        for name in self._ring.candidates(organisation):
-            suspicion = self._suspicions.get(name)
-            if suspicion is None or suspicion.until <= now:
-                yield name
-
-    def _is_isolated(self) -> bool:
-        if len(self._listed) < 2:
-            return False
-        return self._clock.monotonic() - self._heard_at > _ISOLATION_S
-
     def _make_request(
         self, organisation: str, wanted: int, recent: float
     ) -> wire.AllowanceRequest:
--- a/packages/standins/src/sardinedoor_standins/treesim.py
+++ b/packages/standins/src/sardinedoor_standins/treesim.py
@@ -195,7 +195,7 @@
         asked_at = self.now
         worker = min(
             self._rng.sample(self._bottom, _ASKED_OWNERS),
-            key=lambda w: w.queue.expected_call_wait_s(self.now),
+            key=lambda w: w.queue.expected_wait_s(self.now),
         )
         waiter = yield from self._acquire(worker, _CALL_PATIENCE_S, True)
         wait_s = _CALL_PATIENCE_S if waiter is None else self.now - asked_at
