Admit requests at workers of unknown health after six refusals, not at limited ones

Change: six refusals, as many as an ingress meets before it turns to last resorts, and none at a worker that announces a limit.

--- a/packages/node/src/sardinedoor_node/owner/__init__.py
+++ b/packages/node/src/sardinedoor_node/owner/__init__.py
@@ -72,7 +72,13 @@
 
 
 class Gate(abc.ABC):
-    """Accepts or refuses offers according to the health of the worker."""
+    """Accepts or refuses offers according to the health of the worker.
+
+    Attributes:
+        is_limited: Whether the worker announces a limit on its requests.
+    """
+
+    is_limited = False
 
     @abc.abstractmethod
     def admits(self, offer: wire.Offer) -> bool:
--- a/packages/node/src/sardinedoor_node/owner/breaker.py
+++ b/packages/node/src/sardinedoor_node/owner/breaker.py
@@ -35,8 +35,9 @@
 # trials, and requests that no other worker takes.
 MAX_REFUSAL_SHARE = 0.3
 # A worker of which nothing is known refuses this many requests that can't be repeated. The
-# next one is admitted: they would not come if better workers had room.
-MAX_UNPROVEN_REFUSALS = 3
+# next one is admitted: they would not come if better workers had room. An ingress turns
+# to last resorts after as many refusals.
+MAX_UNPROVEN_REFUSALS = 6
 # While the breaker is open, idempotent trial requests are admitted at this
 # interval. A recovered target is recognised after a few of them.
 TRIAL_INTERVAL_S = 1.3
@@ -129,7 +130,7 @@
 
     def _admits_unproven(self) -> bool:
         """Decides on a request that can't be repeated, without evidence."""
-        if not self.is_unproven() or self._running:
+        if not self.is_unproven() or self._running or self.is_limited:
             return False
         self._unproven_refusals += 1
         return self._unproven_refusals > MAX_UNPROVEN_REFUSALS
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -132,7 +132,10 @@
         self._apply_rate_limit(now)
 
     def _apply_rate_limit(self, now: float) -> None:
-        self._rate_limiter.set_rate(self.announced.rate_limit, now)
+        rate_limit = self.announced.rate_limit
+        self._rate_limiter.set_rate(rate_limit, now)
+        if self.gate is not None:
+            self.gate.is_limited = rate_limit is not None
         self._admission.grant_waiting(now)
 
     @property
--- a/tests/test_owner/test_owner_breaker.py
+++ b/tests/test_owner/test_owner_breaker.py
@@ -58,8 +58,9 @@
 
     def test_worker_of_unknown_health_admits_one_request_after_refusals(self):
         """All owners of a fleet that has just started refused, for seconds."""
-        answers = [self._admits() for _ in range(4)]
-        self.assertEqual([False, False, False, True], answers)
+        refusals = breaker.MAX_UNPROVEN_REFUSALS
+        answers = [self._admits() for _ in range(refusals + 1)]
+        self.assertEqual([False] * refusals + [True], answers)
 
         async def run() -> None:
             run = self.gate.begin_run()
@@ -69,6 +70,11 @@
         asyncio.run(run())
         self.assertTrue(self._admits())
 
+    def test_limited_worker_of_unknown_health_admits_none(self):
+        """Requests that its limit didn't admit were refused after a wait."""
+        self.gate.is_limited = True
+        self.assertFalse(any(self._admits() for _ in range(20)))
+
     def test_failing_worker_admits_none_however_often_it_refuses(self):
         self._run(_ERROR, _ERROR)
         self.assertFalse(any(self._admits() for _ in range(20)))
