Drop an unused property and an unused logger of the quotas

Reading the change once more: nothing asked an account for its nodes, and the keeper logs nothing itself, its events are counters. Behaviour is unchanged; the tests of organisations, limits, schema, pages and mechanisms and three files of platform/ pass.

--- a/packages/node/src/sardinedoor_node/organisations/accounts.py
+++ b/packages/node/src/sardinedoor_node/organisations/accounts.py
@@ -107,11 +107,6 @@
         self._promised_until = now
         self._charged: dict[str, RecentAdmissions] = {}
 
-    @property
-    def nodes(self) -> int:
-        """Number of nodes with charges in the last window."""
-        return len(self._charged)
-
     def request(
         self, quota: Quota, node: str, wanted: int, recent: float, now: float
     ) -> Grant:
--- a/packages/node/src/sardinedoor_node/organisations/keeper.py
+++ b/packages/node/src/sardinedoor_node/organisations/keeper.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 import dataclasses
-import logging
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.organisations import accounts
@@ -28,8 +27,6 @@
     from sardinedoor_node.util import clock
     from sardinedoor_node.util import tasks
 
-logger = logging.getLogger(__name__)
-
 # Longest wait for the answer of a home, in s. Callers wait for it, and a home that is
 # alive answers within a round trip.
 _ANSWER_TIMEOUT_S = 0.2
