--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,8 @@
 import rig  # noqa: E402
 
 DRAIN_S = 2.5
+# A worker that leaves goes on serving for a little longer than that.
+LONGER_S = 1.5
 DEADLINE_MS = 30000
 BODY = b"x" * 3000
 ROUTES = [
@@ -54,20 +56,26 @@
         )
         fleet.record.add(f"{leaving.name} is draining, acknowledged")
     await send(8, 1100, 0.25)
-    answers = await asyncio.gather(*tasks)
     late = []
     if rig.disrupted():
+        ends_at = acknowledged_at + DRAIN_S + LONGER_S
+        await asyncio.sleep(ends_at - rig.now())
+        leaving.stop()
+        fleet.store.delete(f"servers/{leaving.name}")
         late = [
             run
             for run in leaving.runs
             if run.began_at > acknowledged_at + DRAIN_S
         ]
+    answers = await asyncio.gather(*tasks)
     statuses = collections.Counter(answer.status for answer in answers)
     fleet.record.add(f"answers by status (0: none): {dict(statuses)}")
+    status_by_id = {a.attempt_id: a.status for a in answers}
     for run in late:
         fleet.record.add(
             f"{run.attempt_id} LATE: reached {leaving.name}"
-            f" {run.began_at - acknowledged_at:.2f} s after the acknowledgement"
+            f" {run.began_at - acknowledged_at:.2f} s after the acknowledgement,"
+            f" client got {status_by_id[run.attempt_id]}"
         )
     return not late
 
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -239,6 +239,8 @@
         self._record = record
         self._running = asyncio.Semaphore(slots)
         self._busy = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self.name = name
         self.service = service
         self.slots = slots
@@ -253,9 +255,16 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Starts to serve."""
-        await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.start_server(self._serve, host, port)
         self.address = f"{host}:{port}"
 
+    def stop(self) -> None:
+        """Ends the worker; the requests that it is running are cut off."""
+        self._record.add(f"{self.name} ends")
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns what it writes into the store."""
         return {
@@ -273,6 +282,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
@@ -281,6 +291,7 @@
                 length = int(head.headers.get("content-length", "0"))
                 await self._read_body(reader, length)
                 await self._respond(head, length, writer)
+        self._writers.discard(writer)
         writer.close()
 
     async def _read_body(
