Review: stand-ins move into case 6, and its control checks the answers

Cause: the stand-ins lay outside the folders of the cases, and without the disruption case 6 checked nothing.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "rig"))
+sys.path.insert(0, str(HERE.parent / "6" / "standins"))
 
 import rig  # noqa: E402
 
@@ -70,6 +70,11 @@
     answers = await asyncio.gather(*tasks)
     statuses = collections.Counter(answer.status for answer in answers)
     fleet.record.add(f"answers by status (0: none): {dict(statuses)}")
+    if not rig.disrupted():
+        # Without the disruption each upload is answered whole or refused.
+        return all(
+            answer.whole and answer.status in (200, 503) for answer in answers
+        )
     status_by_id = {a.attempt_id: a.status for a in answers}
     for run in late:
         fleet.record.add(
--- a/review/rig/rig.py
+++ b/review/6/standins/rig.py
@@ -22,7 +22,7 @@
 import urllib.parse
 import uuid
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 _SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 _READ_BYTES = 65536
 _SPARE_PORTS = 16
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "rig"))
+sys.path.insert(0, str(HERE.parent / "6" / "standins"))
 
 import rig  # noqa: E402
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
     echo "run deploy/build.sh first" >&2
     exit 1
 }
-python3 -m compileall -q review/rig
+python3 -m compileall -q review/6/standins
 for case in review/*/case.py; do
     python3 -m py_compile "$case"
 done
