Refuse what a node can't finish before it is stopped

What callers saw: 5.1 s after SIGTERM of their node the connections of uploads that waited for a slot ended without an answer, though no worker had got them. Cause: a request may wait for a slot during 0.45 of its objective, callers use the node for 2.4 s more, and the drain ends after 5.1 s; the server then cancels what is left. No wait looked at the end of the node. Cut requests left no log line; `request cut` is new. Change: ingress/departure.py says until when a worker may start a request; later it is refused as 2022, and marked so that no message of an owner can start it. Waits in queues end then too. An owner that is stopped refuses the offers in its queue. The count of owners that were sent a request goes down when one says that it isn't run.

--- a/packages/node/src/sardinedoor_node/daemon.py
+++ b/packages/node/src/sardinedoor_node/daemon.py
@@ -16,6 +16,7 @@
 from sardinedoor_node.admin import server
 from sardinedoor_node.admin import status
 from sardinedoor_node.health import monitor
+from sardinedoor_node.ingress import departure
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import holding
@@ -175,6 +176,7 @@
             self._clock,
             self._tasks,
         )
+        own_departure = departure.Departure(self._clock)
         self._forwarder = forward.Forwarder(
             self._members,
             self._transport,
@@ -184,6 +186,7 @@
             holding.AlwaysHold(),
             self._metrics,
             self._clock,
+            own_departure,
         )
         self._tls_context = None
         if file.node.tls_certificate:
@@ -203,6 +206,7 @@
             self._owner,
             self._ingress.server,
             self._membership.gossip.flush,
+            own_departure,
             self._clock,
         )
         self._register()
--- a/packages/node/src/sardinedoor_node/drain.py
+++ b/packages/node/src/sardinedoor_node/drain.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sardinedoor_node.ingress import departure
     from sardinedoor_node.ingress import server
     from sardinedoor_node.membership import table
     from sardinedoor_node.owner import exchange
@@ -33,6 +34,7 @@
         owner: exchange.Owner,
         ingress_server: server.Server,
         flush_gossip: Callable[[], None],
+        own_departure: departure.Departure,
         time: clock.Clock,
     ):
         """Stores the collaborators.
@@ -42,12 +44,14 @@
             owner: Refuses new offers once the node is leaving.
             ingress_server: Server of the callers' connections.
             flush_gossip: Sends pending gossip to peers at once.
+            own_departure: Ends the waits of callers' requests in time.
             time: The clock.
         """
         self._members = members
         self._owner = owner
         self._server = ingress_server
         self._flush_gossip = flush_gossip
+        self._departure = own_departure
         self._clock = time
 
     def on_member_change(self, entry: table.Entry) -> None:
@@ -62,7 +66,7 @@
             self._announce_leaving("listed as leaving")
 
     def _announce_leaving(self, reason: str) -> None:
-        self._owner.leaving = True
+        self._owner.leave()
         self._members.mark_leaving(self._members.own.name, reason)
         self._flush_gossip()
 
@@ -77,6 +81,7 @@
         started_at = self._clock.monotonic()
         logger.info("draining")
         self._announce_leaving("planned stop")
+        self._departure.begin(0.0, limit_s)
         await self._server.stop_accepting()
         while self._clock.monotonic() - started_at < limit_s:
             self._server.close_idle(idle_s)
@@ -114,6 +119,7 @@
         announce_leaving: Callable[[], None],
         owner: exchange.Owner,
         ingress_server: server.Server,
+        own_departure: departure.Departure,
         time: clock.Clock,
     ):
         """Stores the collaborators.
@@ -123,9 +129,11 @@
                 that it is leaving.
             owner: Refuses new offers once the node is leaving.
             ingress_server: Server of the callers' connections.
+            own_departure: Ends the waits of callers' requests in time.
             time: The clock.
         """
         self._announce_leaving = announce_leaving
+        self._departure = own_departure
         self._owner = owner
         self._server = ingress_server
         self._clock = time
@@ -140,8 +148,9 @@
         """
         started_at = self._clock.monotonic()
         logger.info("draining")
-        self._owner.leaving = True
+        self._owner.leave()
         self._announce_leaving()
+        self._departure.begin(notice_s, limit_s)
         await self._clock.sleep(min(notice_s, limit_s))
         await self._server.stop_accepting()
         while self._clock.monotonic() - started_at < limit_s:
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -44,8 +44,11 @@
         objective_s: Latency objective: an answer within this time has its
             full value, in s.
         max_runs: Largest number of workers that may run it.
-        may_have_started: Whether a Go message was sent for it, so that a
-            worker may have started it and it can't be cancelled any more.
+        sent_count: Number of owners that were sent the request and haven't told
+            that it isn't run.
+        withdrawn: Whether it must not be sent to an owner any more.
+        expected_run_s: Time that a worker takes to run it, as owners report
+            it, in s; 0 if none has.
         repeats: Whether another worker may be running it or have run it.
         may_repeat: Whether it may run again, within its limits and the retry
             budget, if the next run fails.
@@ -67,7 +70,9 @@
     revision: int = 0
     objective_s: float = 0.0
     max_runs: int = 1
-    may_have_started: bool = False
+    sent_count: int = 0
+    withdrawn: bool = False
+    expected_run_s: float = 0.0
     repeats: bool = False
     may_repeat: bool = False
     may_be_nested: bool = False
@@ -80,6 +85,14 @@
         """Whether only the home worker of its idempotency key may run it."""
         return bool(self.key) and not self.idempotent
 
+    @property
+    def may_have_started(self) -> bool:
+        """Whether a worker may be running it or have run it.
+
+        Unless it is idempotent, it can't be cancelled any more then.
+        """
+        return self.sent_count > 0
+
 
 @dataclasses.dataclass(slots=True)
 class ForwardResult:
@@ -109,6 +122,13 @@
             return 0.0
         return self.load.wait_ms / 1000
 
+    @property
+    def run_s(self) -> float:
+        """Mean time of the worker's runs, in s; 0 if the owner told none."""
+        if isinstance(self.load, msgspec.UnsetType):
+            return 0.0
+        return self.load.latency_us / 1_000_000
+
 
 class Attempt:
     """Offers a job to one owner and waits for the result."""
@@ -145,6 +165,7 @@
         self._clock = time
         self._ticket = b""
         self._owner = offer.owner
+        self._request_sent = False
 
     async def run(self, hold_first: bool) -> ForwardResult:
         """Runs the exchange.
@@ -154,11 +175,24 @@
                 otherwise the request is attached to the offer.
         """
         if hold_first:
-            return await self._run_with_hold()
+            result = await self._run_with_hold()
+        else:
+            result = await self._run_at_once()
+        outcome = codes.outcome(result.code)
+        if self._request_sent and outcome is codes.Outcome.NOT_RUN:
+            self._job.sent_count -= 1
+        return result
+
+    async def _run_at_once(self) -> ForwardResult:
+        self._record_sending()
         if not await self._send_offer():
             return self._failure(codes.Code.LINK_DOWN)
         return await self._wait_for_reply()
 
+    def _record_sending(self) -> None:
+        self._request_sent = True
+        self._job.sent_count += 1
+
     async def _send_offer(self) -> bool:
         """Sends the offer; waits briefly for a link that isn't open yet."""
         if self._channel.send(self._offer):
@@ -229,7 +263,9 @@
     def _expiry_code(
         self, sent_at: float, held: wire.Held
     ) -> codes.Code | None:
-        """Returns why a hold is too old to be used; None if it is valid."""
+        """Returns why a hold can't be used any more; None if it is valid."""
+        if self._job.withdrawn:
+            return codes.Code.NODE_LEAVING
         if self._remaining_s() <= 0:
             return codes.Code.DEADLINE_EXPIRED
         if self._clock.monotonic() - sent_at > self._hold_lifetime_s(held):
@@ -248,7 +284,7 @@
         remaining_ms = int(self._remaining_s() * 1000)
         self._ticket = held.ticket
         self._owner = held.owner
-        self._job.may_have_started = True
+        self._record_sending()
         return self._channel.send(
             wire.Go(
                 self._offer.id, held.ticket, remaining_ms, self._job.request
--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node.admission import calltree
+from sardinedoor_node.ingress import departure
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import strategy
 from sardinedoor_node.limits import hedging
@@ -81,6 +82,7 @@
         time: clock.Clock,
         calls: calltree.CallTree | None = None,
         hedges: hedging.HedgePolicy | None = None,
+        own_departure: departure.Departure | None = None,
     ):
         """Creates a forwarder.
 
@@ -95,12 +97,16 @@
             time: Source of the monotonic time.
             calls: Learns how the calls of the node's own worker fare.
             hedges: Allows extra work against slow answers; none by default.
+            own_departure: Tells when this node ends; by default it doesn't.
         """
+        self._departure = own_departure or departure.Departure(time)
         self._hedges = hedges or hedging.HedgePolicy()
         self._calls = calls or calltree.CallTree()
         self._fleet = fleet
         self._picker = picker
-        self._strategy = strategy.OfferStrategy(picker, counters)
+        self._strategy = strategy.OfferStrategy(
+            picker, counters, self._departure
+        )
         self._offer_sender = offer_sender
         self._budgets = budgets
         self._repeated_runs = repeated_runs
@@ -131,16 +137,10 @@
         if job.idempotent:
             self._hedges.request_started(job.service)
         try:
-            while not progress.answered:
-                if not request.in_flight or progress.hedge_pending:
-                    step = self._next_step(request)
-                    self._start_offers(request, step)
-                    if not request.in_flight:
-                        if not step.pause_s:
-                            return
-                        await self._clock.sleep(step.pause_s)
-                        continue
-                await self._wait_for_offers(request)
+            async with self._departure.withdrawal(job):
+                await self._make_offers(request)
+        except TimeoutError:
+            self._strategy.refuse_as_leaving(progress)
         finally:
             self._report_wait(job, progress)
             if progress.answered:
@@ -150,6 +150,19 @@
             for task in request.in_flight:
                 task.cancel()
 
+    async def _make_offers(self, request: _Request) -> None:
+        progress = request.progress
+        while not progress.answered:
+            if not request.in_flight or progress.hedge_pending:
+                step = self._next_step(request)
+                self._start_offers(request, step)
+                if not request.in_flight:
+                    if not step.pause_s:
+                        return
+                    await self._clock.sleep(step.pause_s)
+                    continue
+            await self._wait_for_offers(request)
+
     def _next_step(self, request: _Request) -> strategy.Step:
         job = request.job
         progress = request.progress
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -7,6 +7,7 @@
 from sardinedoor_node import picking
 from sardinedoor_node.health import worker
 from sardinedoor_node.ingress import attempt
+from sardinedoor_node.ingress import departure
 from sardinedoor_node.ingress import leaving
 from sardinedoor_node.ingress import offers
 from sardinedoor_node.limits import retries
@@ -83,6 +84,7 @@
         hold_policy: holding.HoldPolicy,
         counters: metrics.Metrics,
         time: clock.Clock,
+        own_departure: departure.Departure | None = None,
     ):
         """Stores the collaborators.
 
@@ -95,7 +97,9 @@
             hold_policy: Decides which requests need a hold first.
             counters: Counts retries and events.
             time: The clock.
+            own_departure: Tells when this node ends; by default it doesn't.
         """
+        self._departure = own_departure or departure.Departure(time)
         self._members = members
         self._picker = picker
         self._offer_sender = offers.OfferSender(
@@ -117,12 +121,20 @@
             The combined result of all attempts. It is "not run" only if each
             attempt was not run.
         """
-        if job.is_keyed:
-            return await self._forward_to_home(job)
-        budget = self._budgets.for_service(job.service)
         attempts = _Attempts(
             self._leaving_workers.current(self._clock.monotonic())
         )
+        try:
+            async with self._departure.withdrawal(job):
+                if job.is_keyed:
+                    return await self._forward_to_home(job)
+                await self._make_attempts(job, attempts)
+        except TimeoutError:
+            attempts.last_result = ForwardResult(codes.Code.NODE_LEAVING)
+        return attempts.result()
+
+    async def _make_attempts(self, job: Job, attempts: _Attempts) -> None:
+        budget = self._budgets.for_service(job.service)
         for _ in range(_MAX_PICKS):
             choice = self._choose(job, attempts)
             if choice is None:
@@ -131,10 +143,8 @@
             if not self._allows_retry(job, attempts, budget):
                 break
             self._metrics.retry(attempts.last_result.code.name.lower())
-        result = attempts.result()
-        if codes.outcome(result.code) is codes.Outcome.ANSWERED:
+        if codes.outcome(attempts.result().code) is codes.Outcome.ANSWERED:
             budget.deposit()
-        return result
 
     def _choose(self, job: Job, attempts: _Attempts) -> picking.Choice | None:
         if attempts.count == _MAX_ATTEMPTS:
@@ -142,6 +152,9 @@
         if self._remaining_s(job) <= 0:
             attempts.last_result = ForwardResult(codes.Code.DEADLINE_EXPIRED)
             return None
+        if self._clock.monotonic() > self._departure.latest_start(job):
+            attempts.last_result = ForwardResult(codes.Code.NODE_LEAVING)
+            return None
         candidates = self._members.targets(job.service)
         choice = self._picker.pick(candidates, attempts.tried, job.idempotent)
         if choice is not None and choice.rotation is not worker.Rotation.IN:
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -233,6 +233,14 @@
             return self._result_at_deadline(job, progress)
         except asyncio.CancelledError:
             if not task.cancelled():
+                logger.warning(
+                    "request cut",
+                    extra={
+                        "request_id": request_id,
+                        "route": route.name,
+                        "may_have_started": job.may_have_started,
+                    },
+                )
                 raise
             return attempt.ForwardResult(codes.Code.CALLER_LEFT)
         except Exception:
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -17,8 +17,10 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
+from sardinedoor_node.ingress import attempt
 from sardinedoor_schema import codes
 
 if TYPE_CHECKING:
@@ -26,7 +28,7 @@
 
     from sardinedoor_node import metrics
     from sardinedoor_node import picking
-    from sardinedoor_node.ingress import attempt
+    from sardinedoor_node.ingress import departure
     from sardinedoor_node.ingress import requestprogress
     from sardinedoor_node.limits import retrywindow
     from sardinedoor_node.membership import targets
@@ -80,6 +82,8 @@
         codes.Code.TARGET_LIMITED,
     }
 )
+# The target or its node is being stopped, so its queue takes no requests.
+_LEAVING_REFUSALS = frozenset({codes.Code.NODE_LEAVING})
 # The request is not offered to other owners after these codes.
 _FINAL_REFUSALS = frozenset(
     {
@@ -110,15 +114,22 @@
 class OfferStrategy:
     """Chooses the steps of requests, and evaluates the results of offers."""
 
-    def __init__(self, picker: picking.Picker, counters: metrics.Metrics):
+    def __init__(
+        self,
+        picker: picking.Picker,
+        counters: metrics.Metrics,
+        own_departure: departure.Departure,
+    ):
         """Stores the collaborators.
 
         Args:
             picker: Picks targets.
             counters: Counts the results of offers by result code.
+            own_departure: Tells when this node ends.
         """
         self._picker = picker
         self._metrics = counters
+        self._departure = own_departure
 
     def next_step(
         self,
@@ -137,6 +148,9 @@
         """
         if progress.stopped or progress.offer_count >= MAX_OFFERS:
             return Step()
+        if now > self._departure.latest_start(job):
+            self.refuse_as_leaving(progress)
+            return Step()
         limit_s = max(job.objective_s, longest_wait_s(job))
         is_late = 0 < limit_s < now - progress.started_at
         if is_late and not progress.may_have_run:
@@ -171,6 +185,18 @@
         progress.last_resorts.add(choice.target.worker)
         return Step([choice])
 
+    def refuse_as_leaving(self, progress: requestprogress.Progress) -> None:
+        """Records that this node ends before a worker could run a request.
+
+        Its caller is told to return when it uses another node.
+
+        Args:
+            progress: Updated with the refusal.
+        """
+        progress.last_result = attempt.ForwardResult(codes.Code.NODE_LEAVING)
+        free_at = progress.free_at if math.isfinite(progress.free_at) else 0.0
+        progress.free_at = max(free_at, self._departure.unused_at)
+
     def hedge_step(
         self,
         progress: requestprogress.Progress,
@@ -202,7 +228,8 @@
         now: float,
     ) -> Step:
         latest = progress.started_at + longest_wait_s(job)
-        wait_s = min(latest, job.deadline) - now
+        latest = min(latest, job.deadline, self._departure.latest_start(job))
+        wait_s = latest - now
         if wait_s <= 0:
             return Step()
         busy = [
@@ -263,6 +290,10 @@
         if code in _NO_SLOT_REFUSALS:
             progress.busy[choice.target.worker] = choice.target
             progress.free_at = min(progress.free_at, now + result.wait_s)
+            job.expected_run_s = max(job.expected_run_s, result.run_s)
+        if code in _LEAVING_REFUSALS:
+            progress.busy.pop(choice.target.worker, None)
+            progress.waited = False
         if code in _FREE_REFUSALS or code in _NO_SLOT_REFUSALS:
             return
         if code is codes.Code.CALLED_SERVICE_FULL:
--- a/packages/node/src/sardinedoor_node/limits/admission.py
+++ b/packages/node/src/sardinedoor_node/limits/admission.py
@@ -248,6 +248,20 @@
         self._refuse(waiter, self._expiry_code(waiter, now))
         self._record_empty_queue(now)
 
+    def refuse_waiting(self, code: codes.Code) -> int:
+        """Refuses all queued requests.
+
+        Args:
+            code: Reason of the refusal.
+
+        Returns:
+            Number of the requests.
+        """
+        refused, self._queue = self._queue, []
+        for waiter in refused:
+            self._refuse(waiter, code)
+        return len(refused)
+
     def release(self, waiter: Waiter, now: float, used: bool = True) -> None:
         """Returns a slot and grants it to the next queued request.
 
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -138,6 +138,20 @@
         """Number of unfinished exchanges."""
         return len(self._tasks)
 
+    def leave(self) -> None:
+        """Stops accepting offers, also those that wait for a slot.
+
+        What holds a slot is served.
+        """
+        self.leaving = True
+        waited_at = {
+            exchange.worker.name: exchange.worker
+            for exchange in self._exchanges.values()
+            if exchange.worker is not None
+        }
+        for worker in waited_at.values():
+            worker.refuse_waiting(codes.Code.NODE_LEAVING)
+
     def on_offer(self, channel: link.Channel, offer: wire.Offer) -> None:
         """Starts the exchange for an offer unless its id is a duplicate."""
         if not self._offer_ids.add(offer.id):
@@ -243,6 +257,7 @@
             return exchange.refuse(codes.Code.NODE_LEAVING)
         if worker is None or worker.service != offer.service:
             return exchange.refuse(codes.Code.NOT_OWNER)
+        exchange.worker = worker
         self._adopt_rate_limit(offer, worker)
         if worker.announced.is_leaving(self._clock.monotonic()):
             return exchange.refuse(codes.Code.TARGET_LEAVING)
--- a/packages/node/src/sardinedoor_node/owner/openexchange.py
+++ b/packages/node/src/sardinedoor_node/owner/openexchange.py
@@ -13,6 +13,7 @@
 
     from sardinedoor_node import link
     from sardinedoor_node.owner import replymemory
+    from sardinedoor_node.owner import workers
     from sardinedoor_schema import codes
 
 
@@ -26,6 +27,7 @@
         ticket: Ticket that the `Go` named; empty before.
         run_started: Whether the request may have been sent to the worker.
         task: Task that runs the exchange, once it is started.
+        worker: The node's own worker that it is for, once it is found.
         reply_memory: Memory of the worker's response, released once it is sent.
     """
 
@@ -46,6 +48,7 @@
         self.ticket = b""
         self.run_started = False
         self.task: asyncio.Task | None = None
+        self.worker: workers.LocalWorker | None = None
         self.reply_memory: replymemory.ReplyShare | None = None
 
     @property
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import secrets
 from typing import TYPE_CHECKING
@@ -18,8 +19,11 @@
     from sardinedoor_node import metrics
     from sardinedoor_node import owner
     from sardinedoor_node.util import clock
+    from sardinedoor_schema import codes
     from sardinedoor_schema.generated import settings
 
+logger = logging.getLogger(__name__)
+
 DEFAULT_SLOTS = 3
 _SALT_BYTES = 16
 
@@ -232,6 +236,23 @@
                 self.release_slot(waiter, time, used=False)
             raise
 
+    def refuse_waiting(self, code: codes.Code) -> None:
+        """Refuses all offers that wait for a slot.
+
+        Args:
+            code: Reason of the refusal.
+        """
+        count = self._admission.refuse_waiting(code)
+        if count:
+            logger.info(
+                "waiting offers refused",
+                extra={
+                    "worker": self.name,
+                    "reason": code.name.lower(),
+                    "offers": count,
+                },
+            )
+
     def release_slot(
         self, waiter: admission.Waiter, time: clock.Clock, used: bool = True
     ) -> None:
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -20,6 +20,7 @@
 from sardinedoor_node.admission import calltree
 from sardinedoor_node.health import markovfilter
 from sardinedoor_node.ingress import buffers
+from sardinedoor_node.ingress import departure
 from sardinedoor_node.ingress import exchanges
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import handler
@@ -198,12 +199,14 @@
         )
         failure_model = markovfilter.FailureModel()
         self._calls = calltree.CallTree()
+        self._departure = departure.Departure(self._clock)
         self._owner = self._make_owner(incarnation, failure_model)
         self._handler = self._make_handler(incarnation, failure_model)
         self._drain = drain.ReadinessDrain(
             self._announce_leaving,
             self._owner,
             self._handler.server,
+            self._departure,
             self._clock,
         )
 
@@ -316,6 +319,7 @@
             self._clock,
             self._calls,
             hedging.HedgePolicy(settings.extra_share),
+            self._departure,
         )
         self._quotas = keeper.QuotaKeeper(
             settings.link_address,
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -11,6 +11,7 @@
 from sardinedoor_node import metrics
 from sardinedoor_node import picking
 from sardinedoor_node.ingress import attempt
+from sardinedoor_node.ingress import departure
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import strategy
@@ -184,7 +185,11 @@
     def _record(
         self, results: tuple[attempt.ForwardResult, ...]
     ) -> attempt.ForwardResult:
-        decisions = strategy.OfferStrategy(_InOrderPicker(), metrics.Metrics())
+        decisions = strategy.OfferStrategy(
+            _InOrderPicker(),
+            metrics.Metrics(),
+            departure.Departure(clock.SystemClock()),
+        )
         job = attempt.Job(wire.Request("GET", "/"), "pay", True, 2.0)
         progress = requestprogress.Progress(0.0)
         budget = retrywindow.WindowedBudgets(
