Check again whether a target leaves after each wait of a request

What callers saw: uploads reached a target 3.2 s after its entry said that it drains, and got 502 for work that can't be repeated when it ended. Cause: the owner checked the entry when an offer came, and not when the offer got a slot, up to 4.5 s later. Change: offers that wait for a target are refused once its entry changes or is gone, it announces to leave, or a successor takes its address; the owner checks again right before a run, and the ingress before it uses a slot. A request that lost its place waits in other queues.

--- a/packages/node/src/sardinedoor_node/directory.py
+++ b/packages/node/src/sardinedoor_node/directory.py
@@ -49,6 +49,18 @@
     def refused_as_leaving(self, peer: Peer) -> None:
         """Records that a node refused an offer because it is leaving."""
 
+    def is_leaving(self, target: targets.Target) -> bool:
+        """Returns whether a target must get no request any more.
+
+        Owners refuse requests for such a target, so a directory that doesn't
+        know is no fault.
+
+        Args:
+            target: A target that was listed before.
+        """
+        del target
+        return False
+
     def target_is_leaving(self, target: targets.Target) -> None:
         """Records that a target has announced that it is draining.
 
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -142,6 +142,7 @@
         time: clock.Clock,
         hold_timeout_s: float = HOLD_TIMEOUT_S,
         claim: Callable[[], bool] | None = None,
+        is_leaving: Callable[[], bool] | None = None,
     ):
         """Prepares the exchange; `run` sends the offer.
 
@@ -155,7 +156,10 @@
             hold_timeout_s: Longest wait for a hold, in s.
             claim: Returns whether the request may be sent, now that a slot is
                 held for it; None if it always may.
+            is_leaving: Returns whether the target has begun to leave since the
+                offer; None if only its owner can tell.
         """
+        self._is_leaving = is_leaving
         self._hold_timeout_s = hold_timeout_s
         self._claim = claim
         self._job = job
@@ -266,6 +270,8 @@
         """Returns why a hold can't be used any more; None if it is valid."""
         if self._job.withdrawn:
             return codes.Code.NODE_LEAVING
+        if self._is_leaving is not None and self._is_leaving():
+            return codes.Code.WORKER_DRAINED
         if self._remaining_s() <= 0:
             return codes.Code.DEADLINE_EXPIRED
         if self._clock.monotonic() - sent_at > self._hold_lifetime_s(held):
--- a/packages/node/src/sardinedoor_node/ingress/offers.py
+++ b/packages/node/src/sardinedoor_node/ingress/offers.py
@@ -113,6 +113,7 @@
             self._clock,
             self._hold_timeout_s + (wait_s or 0.0),
             claim,
+            lambda: self._fleet.is_leaving(target),
         )
         token = self._picker.request_started(target)
         result = None
--- a/packages/node/src/sardinedoor_node/ingress/strategy.py
+++ b/packages/node/src/sardinedoor_node/ingress/strategy.py
@@ -82,8 +82,15 @@
         codes.Code.TARGET_LIMITED,
     }
 )
-# The target or its node is being stopped, so its queue takes no requests.
-_LEAVING_REFUSALS = frozenset({codes.Code.NODE_LEAVING})
+# The target or its node is leaving, so the request can't wait there any more.
+_LEAVING_REFUSALS = frozenset(
+    {
+        codes.Code.NODE_LEAVING,
+        codes.Code.NOT_OWNER,
+        codes.Code.WORKER_DRAINED,
+        codes.Code.TARGET_LEAVING,
+    }
+)
 # The request is not offered to other owners after these codes.
 _FINAL_REFUSALS = frozenset(
     {
--- a/packages/node/src/sardinedoor_node/membership/configured.py
+++ b/packages/node/src/sardinedoor_node/membership/configured.py
@@ -67,7 +67,7 @@
         return cached.filtered
 
     def track_drained(self, local: Iterable[workers.LocalWorker]) -> None:
-        """Updates the drained flag of the node's own workers at each edit.
+        """Drains the node's own workers that an edit leaves out.
 
         Args:
             local: The node's own workers.
@@ -75,6 +75,7 @@
 
         def update() -> None:
             for worker in local:
-                worker.drained = not self.allows(worker.service, worker.name)
+                allowed = self.allows(worker.service, worker.name)
+                worker.set_drained(not allowed)
 
         self._store.on_change(update)
--- a/packages/node/src/sardinedoor_node/owner/colocated.py
+++ b/packages/node/src/sardinedoor_node/owner/colocated.py
@@ -52,7 +52,7 @@
         current = self._current
         entry = self._find_entry(name)
         if current is not None and current.name == name:
-            current.drained = entry is None or not entry.accepts_requests
+            current.set_drained(entry is None or not entry.accepts_requests)
             if entry is not None:
                 self._detect_restart(current, entry)
             return current
@@ -72,6 +72,11 @@
         )
         return worker
 
+    def refresh(self) -> None:
+        """Applies a change of the published entries to the current worker."""
+        if self._current is not None:
+            self.get(self._current.name)
+
     def _detect_restart(
         self, current: workers.LocalWorker, entry: published.WorkerEntry
     ) -> None:
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -278,6 +278,8 @@
     async def _reserve_and_run(
         self, exchange: openexchange.Exchange, worker: workers.LocalWorker
     ) -> _ReplyOrRefusal:
+        if self.leaving:
+            return exchange.refuse(codes.Code.NODE_LEAVING)
         if worker.drained:
             return self._refuse(exchange, worker, codes.Code.WORKER_DRAINED)
         if not worker.admits(exchange.offer):
@@ -296,10 +298,31 @@
                 if hold_result.is_err():
                     return exchange.refuse(hold_result.unwrap_err())
                 request = hold_result.unwrap()
+            code = self._departure_code(exchange.offer.worker, worker)
+            if code is not None:
+                return self._refuse(exchange, worker, code)
             return await self._run_request(exchange, worker, request)
         finally:
             worker.release_slot(waiter, self._clock, exchange.run_started)
 
+    def _departure_code(
+        self, name: str, worker: workers.LocalWorker
+    ) -> codes.Code | None:
+        """Returns why a worker gets no new request; None if it isn't leaving.
+
+        It may have begun to leave while the request waited for its slot or for
+        the `Go` message.
+
+        Args:
+            name: Name of the worker in the offer.
+            worker: The worker as it was found when the offer came.
+        """
+        if self._workers.get(name) is not worker or worker.drained:
+            return codes.Code.WORKER_DRAINED
+        if worker.announced.is_leaving(self._clock.monotonic()):
+            return codes.Code.TARGET_LEAVING
+        return None
+
     def _lacks_room_below(self, offer: wire.Offer) -> bool:
         """Decides whether the calls of a request would probably be refused."""
         if not offer.route:
--- a/packages/node/src/sardinedoor_node/owner/workers.py
+++ b/packages/node/src/sardinedoor_node/owner/workers.py
@@ -13,13 +13,13 @@
 from sardinedoor_node.limits import admission
 from sardinedoor_node.owner import announcements
 from sardinedoor_node.owner import target
+from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
     from sardinedoor_node import metrics
     from sardinedoor_node import owner
     from sardinedoor_node.util import clock
-    from sardinedoor_schema import codes
     from sardinedoor_schema.generated import settings
 
 logger = logging.getLogger(__name__)
@@ -35,8 +35,6 @@
         name: Name of the worker.
         service: Name of its service.
         client: Sends requests to it.
-        drained: Whether the settings no longer name it, so that it gets no
-            new requests.
         announced: What it announces of itself.
         gate: Admits or refuses offers by the worker's health; None admits
             all.
@@ -65,7 +63,7 @@
         self.name = name
         self.service = worker.service
         self.client = client or target.TargetClient(worker.address)
-        self.drained = False
+        self._drained = False
         self.announced = announcements.AnnouncedState(
             name, counters, leaving_lease_s
         )
@@ -76,14 +74,31 @@
         self._probes = target.TargetClient(worker.address)
         self.gate: owner.Gate | None = None
 
+    @property
+    def drained(self) -> bool:
+        """Whether it gets no new requests, as it is published or configured."""
+        return self._drained
+
+    def set_drained(self, drained: bool) -> None:
+        """Sets whether it gets new requests; if not, none wait for a slot.
+
+        Args:
+            drained: Whether it gets none.
+        """
+        self._drained = drained
+        if drained:
+            self.refuse_waiting(codes.Code.WORKER_DRAINED)
+
     def inherit_slots(self, predecessor: LocalWorker) -> None:
         """Shares the slots of the earlier worker at the same address.
 
-        The idle connections of the earlier worker are closed.
+        The idle connections of the earlier worker are closed, and the offers that
+        wait for it are refused.
 
         Args:
             predecessor: The earlier worker.
         """
+        predecessor.set_drained(True)
         limiter = self._admission.rate_limiter
         self._admission = predecessor._admission
         self._admission.rate_limiter = limiter
@@ -110,6 +125,8 @@
             now: Monotonic time, in s.
         """
         self.announced.observe(reply, sent_at, now)
+        if self.announced.is_leaving(now):
+            self.refuse_waiting(codes.Code.TARGET_LEAVING)
         self._apply_rate_limit(now)
 
     def started_again(self, now: float) -> None:
--- a/packages/node/src/sardinedoor_node/published/fleet.py
+++ b/packages/node/src/sardinedoor_node/published/fleet.py
@@ -96,6 +96,15 @@
         """See base class."""
         self.mark_leaving(peer.name)
 
+    def is_leaving(self, target: targets.Target) -> bool:
+        """See base class."""
+        entry = self._catalog.current_worker(target.worker)
+        return (
+            entry is None
+            or not entry.accepts_requests
+            or self._leaving_targets.get(entry.name) == entry.started_ms
+        )
+
     def target_is_leaving(self, target: targets.Target) -> None:
         """See base class; the mark lasts until the target starts again."""
         if self._leaving_targets.get(target.worker, -1) >= target.started_ms:
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -251,6 +251,7 @@
             make_worker,
             self._clock,
         )
+        self._catalog.on_change(worker_finder.refresh)
         notifier = crashnotices.CrashNotifier(
             self._fleet, self._transport, self._clock
         )
--- a/tests/test_ingress/test_ingress_departure.py
+++ b/tests/test_ingress/test_ingress_departure.py
@@ -240,7 +240,11 @@
 
 class WithdrawnJobTest(testtools.TestCase):
     def _run(
-        self, job: attempt.Job, hold_first: bool, *messages: object
+        self,
+        job: attempt.Job,
+        hold_first: bool,
+        *messages: object,
+        is_leaving: Callable[[], bool] | None = None,
     ) -> tuple[attempt.ForwardResult, list[type]]:
         async def play() -> attempt.ForwardResult:
             inbox: asyncio.Queue = asyncio.Queue()
@@ -252,6 +256,7 @@
                 channel,
                 inbox,
                 clock.SystemClock(),
+                is_leaving=is_leaving,
             )
             return await exchange.run(hold_first)
 
@@ -271,6 +276,15 @@
         self.assertEqual(_C.NODE_LEAVING, result.code)
         self.assertEqual([wire.Offer, wire.Cancel], sent)
 
+    def test_slot_of_a_target_that_has_begun_to_leave_is_not_used(self):
+        """Its owner may not know yet that the target is draining."""
+        held = wire.Held(b"id", b"t", 500, b"o")
+        result, sent = self._run(
+            self._job(), True, held, is_leaving=lambda: True
+        )
+        self.assertEqual(_C.WORKER_DRAINED, result.code)
+        self.assertEqual([wire.Offer, wire.Cancel], sent)
+
     def test_request_counts_as_sent_until_its_owner_refuses_it(self):
         """Otherwise one that waits for a slot again is never withdrawn."""
         refusal = wire.Refusal(b"id", int(_C.QUEUE_FULL))
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -210,6 +210,23 @@
 
 
 class FailoverForwarderTest(testtools.TestCase):
+    def test_request_that_loses_its_place_in_a_queue_waits_in_another(self):
+        """The queue of a target that leaves is closed beside a full one."""
+        for code in (_C.WORKER_DRAINED, _C.TARGET_LEAVING, _C.NODE_LEAVING):
+            result, sender = _forward(
+                {
+                    "a": [(0.0, _C.QUEUE_FULL), (0.02, code)],
+                    "b": [
+                        (0.0, _C.QUEUE_FULL),
+                        (0.01, _C.QUEUE_FULL),
+                        (0.01, 200),
+                    ],
+                },
+                False,
+            )
+            self.assertEqual(_C.ANSWERED, result.code, code)
+            self.assertEqual(["a", "b", "a", "b", "b"], sender.offered, code)
+
     def test_any_request_that_was_not_run_fails_over(self):
         for code in (
             _C.TARGET_EJECTED,
--- a/tests/test_owner/test_owner_codes.py
+++ b/tests/test_owner/test_owner_codes.py
@@ -116,7 +116,7 @@
 
 
 def _worker_drained(fixture: _Fixture) -> None:
-    fixture.owner._workers["n0-w0"].drained = True
+    fixture.owner._workers["n0-w0"].set_drained(True)
     fixture.send()
 
 
--- a/tests/test_owner/test_owner_exchange.py
+++ b/tests/test_owner/test_owner_exchange.py
@@ -190,6 +190,19 @@
             )
             self.assertEqual((code, runs), observed, name)
 
+    def test_target_that_drains_during_the_hold_gets_no_request(self):
+        """A `Go` that came later still started it."""
+        with virtualtime.Timeline().closing() as timeline:
+            fixture = _Fixture(timeline, holding.AlwaysHold(), nodes=2)
+            worker = fixture.fleet.nodes["n0"].owner._workers["n0-w0"]
+            fixture.on_first_message(
+                wire.Held, 0.001, lambda: worker.set_drained(True)
+            )
+            send = fixture.send(node="n1")
+            fixture.run()
+            self.assertEqual(_C.WORKER_DRAINED, send.result.code)
+            self.assertEqual([], fixture.fleet.runs)
+
     def test_duplicate_offer_reaches_a_later_incarnation(self):
         """Its refusal must not be mistaken for the outcome of the `Go`.
 
