Take a response with an impossible status for invalid

What callers saw: a target that answered with status 000 and its seal was passed on as an answer, with the status line "HTTP/1.1 0 Unknown" (read from a raw socket). Cause: the HTTP library takes any three digits for a status, and nothing after it looked at the range; status 0 is below 500, so it also counted as a success in the failover. Change: a final status outside 200 to 599 makes the response invalid (3008, outcome unknown), also beside a header that says that the request was not run; the connection is closed. The caller gets 502, and a request that may be repeated runs elsewhere.

--- a/packages/node/src/sardinedoor_node/owner/target.py
+++ b/packages/node/src/sardinedoor_node/owner/target.py
@@ -35,6 +35,8 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 _CHUNK_BYTES = 64 * 1024
+# Statuses of final responses; HTTP has no others.
+_FINAL_STATUSES = range(200, 600)
 # Responses to earlier requests that may precede the awaited one.
 _MAX_STRAY_RESPONSES = 3
 # On a reused connection, these failures may be due to the connection.
@@ -349,6 +351,11 @@
             if collector.status:
                 return TargetReply(codes.Code.REPLY_TRUNCATED)
             return TargetReply(codes.Code.TARGET_CONNECTION_LOST)
+        if collector.status not in _FINAL_STATUSES:
+            # No header of such a response can be relied on.
+            collector.memory.end()
+            stream.close()
+            return TargetReply(codes.Code.REPLY_INVALID)
         connection_option = collector.headers.get("Connection", "")
         if collector.must_close or connection_option.lower() == "close":
             stream.close()
