Refuse what waits outside the forwarding when a node ends

What callers saw: the connection of a request that waited for the quota of its organisation ended without an answer when its node was stopped. A request whose first run had failed also counted as running while it waited for a second one. Change: before the server closes its connections, it cancels the requests, and the handler refuses those that no worker may have got. Runs in flight are counted apart from whether a worker may have run the request.

--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -44,8 +44,9 @@
         objective_s: Latency objective: an answer within this time has its
             full value, in s.
         max_runs: Largest number of workers that may run it.
-        sent_count: Number of owners that were sent the request and haven't told
-            that it isn't run.
+        runs_in_flight: Number of owners that were sent the request and haven't told
+            the outcome.
+        may_have_run: Whether a worker may have run it, as far as the outcomes tell.
         withdrawn: Whether it must not be sent to an owner any more.
         expected_run_s: Time that a worker takes to run it, as owners report
             it, in s; 0 if none has.
@@ -70,7 +71,8 @@
     revision: int = 0
     objective_s: float = 0.0
     max_runs: int = 1
-    sent_count: int = 0
+    runs_in_flight: int = 0
+    may_have_run: bool = False
     withdrawn: bool = False
     expected_run_s: float = 0.0
     repeats: bool = False
@@ -91,7 +93,7 @@
 
         Unless it is idempotent, it can't be cancelled any more then.
         """
-        return self.sent_count > 0
+        return self.may_have_run or self.runs_in_flight > 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -178,14 +180,18 @@
             hold_first: Whether to reserve a slot before the request is sent;
                 otherwise the request is attached to the offer.
         """
-        if hold_first:
-            result = await self._run_with_hold()
-        else:
-            result = await self._run_at_once()
-        outcome = codes.outcome(result.code)
-        if self._request_sent and outcome is codes.Outcome.NOT_RUN:
-            self._job.sent_count -= 1
-        return result
+        outcome = codes.Outcome.UNKNOWN
+        try:
+            if hold_first:
+                result = await self._run_with_hold()
+            else:
+                result = await self._run_at_once()
+            outcome = codes.outcome(result.code)
+            return result
+        finally:
+            if self._request_sent:
+                self._job.runs_in_flight -= 1
+                self._job.may_have_run |= outcome is not codes.Outcome.NOT_RUN
 
     async def _run_at_once(self) -> ForwardResult:
         self._record_sending()
@@ -195,7 +201,7 @@
 
     def _record_sending(self) -> None:
         self._request_sent = True
-        self._job.sent_count += 1
+        self._job.runs_in_flight += 1
 
     async def _send_offer(self) -> bool:
         """Sends the offer; waits briefly for a link that isn't open yet."""
--- a/packages/node/src/sardinedoor_node/ingress/departure.py
+++ b/packages/node/src/sardinedoor_node/ingress/departure.py
@@ -110,7 +110,7 @@
         )
 
     def _withdraw(self, request: _OpenRequest) -> None:
-        if request not in self._open or request.job.may_have_started:
+        if request not in self._open or request.job.runs_in_flight:
             return
         request.job.withdrawn = True
         request.timeout.reschedule(asyncio.get_running_loop().time())
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -169,9 +169,13 @@
         if request.refusal is not None:
             result = attempt.ForwardResult(request.refusal)
         else:
-            result = await self._forward_within_quota(
-                request, request_id, progress
-            )
+            try:
+                result = await self._forward_within_quota(
+                    request, request_id, progress
+                )
+            except asyncio.CancelledError:
+                self._end(request, request_id, progress)
+                raise
         if progress.is_call and not result.succeeded:
             self._calls.call_failed(self._clock.monotonic())
         self._respond(request, request_id, result, progress.free_at)
@@ -184,6 +188,35 @@
         self._metrics.observe_request_duration(duration_s)
         self._log(request, request_id, result, progress, duration_s)
 
+    def _end(
+        self,
+        request: requests.Request,
+        request_id: str,
+        progress: requestprogress.Progress,
+    ) -> None:
+        """Ends a request that is unfinished when the node closes.
+
+        It is refused if no worker may have got it; otherwise its outcome is
+        unknown, and its connection ends without an answer.
+        """
+        job = progress.job
+        may_have_started = job is not None and job.may_have_started
+        logger.warning(
+            "request cut",
+            extra={
+                "request_id": request_id,
+                "route": request.route.name if request.route else "",
+                "may_have_started": may_have_started,
+            },
+        )
+        if may_have_started:
+            return
+        if job is not None:
+            job.withdrawn = True
+        refusal = attempt.ForwardResult(codes.Code.NODE_LEAVING)
+        self._metrics.result(refusal.code)
+        self._respond(request, request_id, refusal, progress.free_at)
+
     async def _forward_within_quota(
         self,
         request: requests.Request,
@@ -212,6 +245,7 @@
     ) -> attempt.ForwardResult:
         route = request.route
         job = self._build_job(request, route, progress.started_at)
+        progress.job = job
         progress.nested = job.may_be_nested
         progress.is_call = job.nested
         task = asyncio.get_running_loop().create_task(
@@ -233,14 +267,6 @@
             return self._result_at_deadline(job, progress)
         except asyncio.CancelledError:
             if not task.cancelled():
-                logger.warning(
-                    "request cut",
-                    extra={
-                        "request_id": request_id,
-                        "route": route.name,
-                        "may_have_started": job.may_have_started,
-                    },
-                )
                 raise
             return attempt.ForwardResult(codes.Code.CALLER_LEFT)
         except Exception:
--- a/packages/node/src/sardinedoor_node/ingress/requestprogress.py
+++ b/packages/node/src/sardinedoor_node/ingress/requestprogress.py
@@ -39,6 +39,7 @@
 
     Attributes:
         started_at: When the request arrived, monotonic, in s.
+        job: The request as it is forwarded; None before that.
         tried: Names of the workers that it is not offered to again.
         may_have_run: Names of the workers that may have run it.
         busy: Targets whose owners had no free slot, by worker.
@@ -69,6 +70,7 @@
     """
 
     started_at: float
+    job: attempt.Job | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: set[str] = dataclasses.field(default_factory=set)
     busy: dict[str, targets.Target] = dataclasses.field(default_factory=dict)
--- a/packages/node/src/sardinedoor_node/ingress/server.py
+++ b/packages/node/src/sardinedoor_node/ingress/server.py
@@ -361,13 +361,16 @@
                 caller_connection.stream.close_gracefully()
 
     async def close(self) -> None:
-        """Closes the listeners and connections and cancels all requests."""
+        """Closes the listeners, ends all requests and closes the connections.
+
+        The handler may still answer the requests that it is serving.
+        """
         for listener in self._acceptors:
             listener.close()
+        await self._request_tasks.cancel()
         for caller_connection in list(self._connections):
             caller_connection.stream.close_gracefully()
         await self._connection_tasks.cancel()
-        await self._request_tasks.cancel()
         await stream.wait_for_lingering()
 
 
--- a/tests/test_ingress/test_ingress_departure.py
+++ b/tests/test_ingress/test_ingress_departure.py
@@ -96,7 +96,7 @@
                 raise
             return attempt.ForwardResult(_C.QUEUE_FULL, worker)
         claim()
-        job.sent_count += 1
+        job.runs_in_flight += 1
         await asyncio.sleep(_ANSWER_S)
         reply = wire.Reply(b"", 200, 0, b"")
         return attempt.ForwardResult(_C.ANSWERED, worker, reply)
@@ -161,6 +161,19 @@
 
         _run(scenario)
 
+    def test_request_that_waits_for_a_second_run_is_answered_as_well(self):
+        """Its first run failed, so it counted as running until the end."""
+
+        async def scenario(stop: _Stop) -> None:
+            stop.job.may_have_run = True
+            stop.progress.failure = attempt.ForwardResult(_C.TARGET_TIMEOUT)
+            asyncio.get_running_loop().call_later(0.1, stop.begin)
+            result = await stop.forward()
+            self.assertEqual(_C.TARGET_TIMEOUT, result.code)
+            self.assertLess(stop.time.monotonic(), stop.departure.ends_at)
+
+        _run(scenario)
+
     def test_request_that_a_worker_may_run_is_not_withdrawn(self):
         async def scenario(stop: _Stop) -> None:
             stop.owners.is_running = True
@@ -285,7 +298,7 @@
         self.assertEqual(_C.WORKER_DRAINED, result.code)
         self.assertEqual([wire.Offer, wire.Cancel], sent)
 
-    def test_request_counts_as_sent_until_its_owner_refuses_it(self):
+    def test_request_is_in_flight_until_its_owner_tells_the_outcome(self):
         """Otherwise one that waits for a slot again is never withdrawn."""
         refusal = wire.Refusal(b"id", int(_C.QUEUE_FULL))
         held = wire.Held(b"id", b"t", 500, b"o")
@@ -301,3 +314,4 @@
             job = self._job()
             self._run(job, hold_first, *messages)
             self.assertEqual(may_have_started, job.may_have_started, messages)
+            self.assertEqual(0, job.runs_in_flight, messages)
