--- a/bench/mechanisms/__init__.py
+++ b/bench/mechanisms/__init__.py
@@ -6,6 +6,7 @@
 
 from mechanisms import announced
 from mechanisms import connections
+from mechanisms import departures
 from mechanisms import exchanges
 from mechanisms import replicas
 from mechanisms import routing
@@ -20,6 +21,7 @@
     *routing.MECHANISMS,
     *replicas.MECHANISMS,
     *announced.MECHANISMS,
+    *departures.MECHANISMS,
 ]
 
 
