Tell a withdrawn request from other time-outs

Cause: a TimeoutError from elsewhere in the forwarding would have been taken for a withdrawal, and the request refused as not run. None is known to occur. Change: both forwarders check the mark of the request; an unused logger goes. Measured: the tests of stops, departures, failover and exchanges pass.

--- a/packages/node/src/sardinedoor_node/directory.py
+++ b/packages/node/src/sardinedoor_node/directory.py
@@ -52,8 +52,8 @@
     def is_leaving(self, target: targets.Target) -> bool:
         """Returns whether a target must get no request any more.
 
-        Owners refuse requests for such a target, so a directory that doesn't
-        know is no fault.
+        Owners refuse requests for such a target as well, so a directory that
+        doesn't know may return False.
 
         Args:
             target: A target that was listed before.
--- a/packages/node/src/sardinedoor_node/ingress/departure.py
+++ b/packages/node/src/sardinedoor_node/ingress/departure.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import logging
 import math
 from typing import TYPE_CHECKING
 
@@ -20,8 +19,6 @@
     from sardinedoor_node.ingress import attempt
     from sardinedoor_node.util import clock
 
-logger = logging.getLogger(__name__)
-
 # Time for the refusal to reach the caller before the connections are closed.
 _ANSWER_TIME_S = 0.3
 # Few runs take longer than this multiple of the mean. The outcome of a run that
--- a/packages/node/src/sardinedoor_node/ingress/failover.py
+++ b/packages/node/src/sardinedoor_node/ingress/failover.py
@@ -140,6 +140,8 @@
             async with self._departure.withdrawal(job):
                 await self._make_offers(request)
         except TimeoutError:
+            if not job.withdrawn:
+                raise
             self._strategy.refuse_as_leaving(progress)
         finally:
             self._report_wait(job, progress)
--- a/packages/node/src/sardinedoor_node/ingress/forward.py
+++ b/packages/node/src/sardinedoor_node/ingress/forward.py
@@ -130,6 +130,8 @@
                     return await self._forward_to_home(job)
                 await self._make_attempts(job, attempts)
         except TimeoutError:
+            if not job.withdrawn:
+                raise
             attempts.last_result = ForwardResult(codes.Code.NODE_LEAVING)
         return attempts.result()
 
--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -174,7 +174,7 @@
                     request, request_id, progress
                 )
             except asyncio.CancelledError:
-                self._end(request, request_id, progress)
+                self._end_unfinished(request, request_id, progress)
                 raise
         if progress.is_call and not result.succeeded:
             self._calls.call_failed(self._clock.monotonic())
@@ -188,7 +188,7 @@
         self._metrics.observe_request_duration(duration_s)
         self._log(request, request_id, result, progress, duration_s)
 
-    def _end(
+    def _end_unfinished(
         self,
         request: requests.Request,
         request_id: str,
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -144,12 +144,8 @@
         What holds a slot is served.
         """
         self.leaving = True
-        waited_at = {
-            exchange.worker.name: exchange.worker
-            for exchange in self._exchanges.values()
-            if exchange.worker is not None
-        }
-        for worker in waited_at.values():
+        waited_at = {exchange.worker for exchange in self._exchanges.values()}
+        for worker in waited_at - {None}:
             worker.refuse_waiting(codes.Code.NODE_LEAVING)
 
     def on_offer(self, channel: link.Channel, offer: wire.Offer) -> None:
