Split the account of runs and the request log off; share the fakes of two tests

Change: owner/runaccount.py counts runs in flight, ingress/requestlog.py writes the log lines of requests, sardinedoor_standins/inorder.py holds the fakes. Behaviour and assertions are unchanged.

--- a/packages/node/src/sardinedoor_node/ingress/handler.py
+++ b/packages/node/src/sardinedoor_node/ingress/handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 import random
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import hosts
+from sardinedoor_node.ingress import requestlog
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.ingress import requests
 from sardinedoor_node.ingress import responses
@@ -186,7 +186,12 @@
         duration_s = self._clock.monotonic() - started_at
         self._metrics.result(result.code)
         self._metrics.observe_request_duration(duration_s)
-        self._log(request, request_id, result, progress, duration_s)
+        view = requestlog.View(
+            self._routes.version if self._routes else 0, self._catalog.revision
+        )
+        requestlog.log_result(
+            request, request_id, result, progress, view, duration_s
+        )
 
     def _end_unfinished(
         self,
@@ -201,14 +206,7 @@
         """
         job = progress.job
         may_have_started = job is not None and job.may_have_started
-        logger.warning(
-            "request cut",
-            extra={
-                "request_id": request_id,
-                "route": request.route.name if request.route else "",
-                "may_have_started": may_have_started,
-            },
-        )
+        requestlog.log_cut(request, request_id, may_have_started)
         if may_have_started:
             return
         if job is not None:
@@ -371,33 +369,3 @@
             ),
             responses.refusal_body(result.code),
         )
-
-    def _log(
-        self,
-        request: requests.Request,
-        request_id: str,
-        result: attempt.ForwardResult,
-        progress: requestprogress.Progress,
-        duration_s: float,
-    ) -> None:
-        route = request.route
-        logger.info(
-            "request",
-            extra={
-                "request_id": request_id,
-                "route": route.name if route else "",
-                "organisation": (
-                    request.organisation.name if request.organisation else ""
-                ),
-                "version": self._routes.version if self._routes else 0,
-                "revision": self._catalog.revision,
-                "code": int(result.code),
-                "status": result.reply.status if result.reply else 0,
-                "took_ms": round(1000 * duration_s),
-                "nested": progress.nested,
-                "steps": [
-                    dataclasses.astuple(record)
-                    for record in progress.offer_records
-                ],
-            },
-        )
--- a/packages/node/src/sardinedoor_node/owner/exchange.py
+++ b/packages/node/src/sardinedoor_node/owner/exchange.py
@@ -19,6 +19,7 @@
 from sardinedoor_node.owner import offerids
 from sardinedoor_node.owner import openexchange
 from sardinedoor_node.owner import replywindow
+from sardinedoor_node.owner import runaccount
 from sardinedoor_node.util import digests
 from sardinedoor_node.util import tasks
 from sardinedoor_schema import codes
@@ -37,8 +38,6 @@
 logger = logging.getLogger(__name__)
 
 _ReplyOrRefusal = wire.Reply | wire.Refusal
-# A worker may go on with a run for this long after its connection was closed.
-_ABANDONED_RUN_S = 1.0
 
 
 class Owner:
@@ -48,6 +47,10 @@
     holds it: it answers with a ticket and waits for the `Go` message, which
     names the ticket and carries the request. A hold without a `Go` lapses. An
     offer that carries the request itself runs without a hold.
+
+    Attributes:
+        account: Counts the runs of the node's own workers.
+        leaving: Whether the node is being stopped.
     """
 
     def __init__(
@@ -94,45 +97,9 @@
             self._keyed_requests = keyed.KeyedRequests(
                 key_placement, ledger.Ledger(time), time
             )
-        self._in_flight = 0
-        self._started_at = time.monotonic()
-        self._idle_since = self._started_at
-        self._idle_s = 0.0
-        self._abandoned_at = -math.inf
-        self._repeated_in_flight = 0
+        self.account = runaccount.RunAccount(time)
         self.leaving = False
 
-    @property
-    def in_flight(self) -> int:
-        """Number of requests in flight at the node's workers."""
-        return self._in_flight
-
-    def may_be_running(self) -> bool:
-        """Returns whether a worker may be running a request.
-
-        A run that ended without a response may go on at the worker for a while.
-        """
-        if self._in_flight:
-            return True
-        abandoned_s = self._clock.monotonic() - self._abandoned_at
-        return abandoned_s < _ABANDONED_RUN_S
-
-    def idle_share(self) -> float:
-        """Returns the share of the time in which the workers ran nothing."""
-        now = self._clock.monotonic()
-        idle_s = self._idle_s
-        if not self._in_flight:
-            idle_s += now - self._idle_since
-        return idle_s / max(now - self._started_at, 1e-3)
-
-    @property
-    def repeated_in_flight(self) -> int:
-        """Number of requests in flight that repeat an earlier run.
-
-        Another worker runs such a request as well or has run it before.
-        """
-        return self._repeated_in_flight
-
     @property
     def open_exchanges(self) -> int:
         """Number of unfinished exchanges."""
@@ -405,23 +372,15 @@
             request, offer.worker, remaining_s
         )
         sent_at = self._clock.monotonic()
-        if not self._in_flight:
-            self._idle_s += sent_at - self._idle_since
-        self._in_flight += 1
-        self._repeated_in_flight += offer.repeats
-        self._calls.run_started(offer.id, offer.route)
-        reply = None
-        try:
-            reply = await worker.client.run(
-                translated, offer.idempotent, remaining_s
-            )
-        finally:
-            if reply is None or not reply.status:
-                self._abandoned_at = self._clock.monotonic()
-            self._calls.run_ended(offer.id)
-            self._in_flight -= 1
-            self._idle_since = self._clock.monotonic()
-            self._repeated_in_flight -= offer.repeats
+        with self.account.run(offer.repeats) as run:
+            self._calls.run_started(offer.id, offer.route)
+            try:
+                reply = await worker.client.run(
+                    translated, offer.idempotent, remaining_s
+                )
+                run.answered = bool(reply.status)
+            finally:
+                self._calls.run_ended(offer.id)
         exchange.reply_memory = reply.memory
         worker.observe_reply(reply, sent_at, self._clock.monotonic())
         await self._record_run_end(
--- a/packages/node/src/sardinedoor_node/sidecar.py
+++ b/packages/node/src/sardinedoor_node/sidecar.py
@@ -315,7 +315,7 @@
                 -math.inf if settings.first_start else self._clock.monotonic(),
                 self._rng.random(),
             ),
-            lambda: self._owner.repeated_in_flight,
+            lambda: self._owner.account.repeated_in_flight,
             self._metrics,
             self._clock,
             self._calls,
@@ -345,7 +345,8 @@
                 _MAX_CONNECTIONS, settings.memory_mb, settings.descriptors
             ),
             nesting.NestedCallDetector(
-                self._owner.may_be_running, self._owner.idle_share
+                self._owner.account.may_be_running,
+                self._owner.account.idle_share,
             ),
             self._quotas,
             settings.apply_s,
--- a/packages/standins/src/sardinedoor_standins/loadsim.py
+++ b/packages/standins/src/sardinedoor_standins/loadsim.py
@@ -231,7 +231,7 @@
                 time.monotonic() - fleet.retry_rules.window_s,
                 rng.random(),
             ),
-            lambda: self.owner.repeated_in_flight,
+            lambda: self.owner.account.repeated_in_flight,
             counters,
             time,
         )
--- a/tests/test_ingress/test_ingress_departure.py
+++ b/tests/test_ingress/test_ingress_departure.py
@@ -8,20 +8,18 @@
 
 import testtools
 
-from sardinedoor_node import directory
 from sardinedoor_node import link
 from sardinedoor_node import metrics
-from sardinedoor_node import picking
 from sardinedoor_node.ingress import attempt
 from sardinedoor_node.ingress import departure
 from sardinedoor_node.ingress import failover
 from sardinedoor_node.ingress import forward
 from sardinedoor_node.ingress import requestprogress
 from sardinedoor_node.limits import retrywindow
-from sardinedoor_node.membership import targets
 from sardinedoor_node.util import clock
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
+from sardinedoor_standins import inorder
 
 _C = codes.Code
 _NOTICE_S = 0.2
@@ -31,41 +29,6 @@
 _ANSWER_S = 0.9
 
 
-class _Directory(directory.Directory):
-    """Lists two targets, each beside a node of its own."""
-
-    @property
-    def own_name(self) -> str:
-        return "own"
-
-    def targets(self, service: str) -> list[targets.Target]:
-        return [targets.Target(name, service, name, False) for name in "ab"]
-
-    def peer(self, name: str) -> directory.Peer | None:
-        return directory.Peer(name, name)
-
-    def refused_as_leaving(self, peer: directory.Peer) -> None:
-        pass
-
-
-class _InOrderPicker(picking.Picker):
-    def pick(self, candidates, tried, idempotent=False):
-        found = [t for t in candidates if t.worker not in tried]
-        return picking.Choice(found[0]) if found else None
-
-    def pick_queues(self, candidates, count, idempotent, wait_s):
-        return [picking.Choice(target) for target in candidates[:count]]
-
-    def pick_last_resort(self, candidates, tried, idempotent=False):
-        return None
-
-    def request_started(self, target):
-        return 0.0
-
-    def request_finished(self, target, token, feedback):
-        pass
-
-
 class _FullOwners:
     """Refuses offers for lack of a slot, and keeps queued ones waiting.
 
@@ -118,8 +81,8 @@
             objective_s=20.0,
         )
         self._forwarder = failover.FailoverForwarder(
-            _Directory(),
-            _InOrderPicker(),
+            inorder.FixedDirectory(["a", "b"]),
+            inorder.InOrderPicker(),
             self.owners,
             retrywindow.WindowedBudgets(
                 retrywindow.RetryRules(0.0, 10.0, 60.0), lambda: 1, 0.0, 0.0
@@ -217,9 +180,9 @@
 
         async def scenario(stop: _Stop) -> None:
             forwarder = forward.Forwarder(
-                _Directory(),
+                inorder.FixedDirectory(["a", "b"]),
                 None,
-                _InOrderPicker(),
+                inorder.InOrderPicker(),
                 None,
                 _Placement(),
                 None,
--- a/tests/test_ingress/test_ingress_failover.py
+++ b/tests/test_ingress/test_ingress_failover.py
@@ -7,7 +7,6 @@
 
 import testtools
 
-from sardinedoor_node import directory
 from sardinedoor_node import metrics
 from sardinedoor_node import picking
 from sardinedoor_node.ingress import attempt
@@ -20,55 +19,11 @@
 from sardinedoor_node.util import clock
 from sardinedoor_schema import codes
 from sardinedoor_schema.generated import wire
+from sardinedoor_standins import inorder
 
 _C = codes.Code
 
 
-class _FixedDirectory(directory.Directory):
-    def __init__(self, names: list[str]):
-        self._targets = [
-            targets.Target(name, "pay", name, False) for name in names
-        ]
-
-    @property
-    def own_name(self) -> str:
-        return "own"
-
-    def targets(self, service: str) -> list[targets.Target]:
-        return self._targets
-
-    def peer(self, name: str) -> directory.Peer | None:
-        return directory.Peer(name, name)
-
-    def refused_as_leaving(self, peer: directory.Peer) -> None:
-        pass
-
-
-class _InOrderPicker(picking.Picker):
-    """Picks targets in their order; names in upper case are failing ones."""
-
-    def pick(self, candidates, tried, idempotent=False):
-        for target in candidates:
-            if target.worker.islower() and target.worker not in tried:
-                return picking.Choice(target)
-        return None
-
-    def pick_queues(self, candidates, count, idempotent, wait_s):
-        return [picking.Choice(target) for target in candidates[:count]]
-
-    def pick_last_resort(self, candidates, tried, idempotent=False):
-        for target in candidates:
-            if target.worker.isupper() and target.worker not in tried:
-                return picking.Choice(target)
-        return None
-
-    def request_started(self, target):
-        return 0.0
-
-    def request_finished(self, target, token, feedback):
-        pass
-
-
 class _ScriptedOfferSender:
     """Answers the offer to each worker as scripted.
 
@@ -135,8 +90,8 @@
     async def run() -> attempt.ForwardResult:
         time = clock.SystemClock()
         forwarder = failover.FailoverForwarder(
-            _FixedDirectory(list(script)),
-            _InOrderPicker(),
+            inorder.FixedDirectory(list(script)),
+            inorder.InOrderPicker(),
             sender,
             retrywindow.WindowedBudgets(
                 retrywindow.RetryRules(ratio, 10.0, burst),
@@ -186,7 +141,7 @@
         self, results: tuple[attempt.ForwardResult, ...]
     ) -> attempt.ForwardResult:
         decisions = strategy.OfferStrategy(
-            _InOrderPicker(),
+            inorder.InOrderPicker(),
             metrics.Metrics(),
             departure.Departure(clock.SystemClock()),
         )
--- a/tests/test_owner/test_owner_abandoned.py
+++ b/tests/test_owner/test_owner_abandoned.py
@@ -20,9 +20,11 @@
             fleet.submit(1.0, "n0", request)
             owner = fleet.nodes["n0"].owner
             running = []
-            while not request.result or owner.in_flight:
+            while not request.result or owner.account.in_flight:
                 timeline.run_until(timeline.now + 0.1)
             for _ in range(2):
-                running.append((owner.in_flight, owner.may_be_running()))
+                running.append(
+                    (owner.account.in_flight, owner.account.may_be_running())
+                )
                 timeline.run_until(timeline.now + 1.1)
             self.assertEqual([(0, True), (0, False)], running)
