Don't send a withdrawn request with an offer

What callers could see: a request that may be repeated was refused as not run when its node ended, and ran: an offer that carries the request was still sent if its task began between the withdrawal and its cancellation. Cause: only the use of a held slot looked at the mark of a withdrawn request. Found by reading; not seen in a run. Change: the mark is checked before such an offer is sent. Measured: test_request_is_not_sent_with_an_offer_after_the_withdrawal failed before and passes, as do the other tests of departures, failover and exchanges and the seeded ones.

--- a/bench/mechanisms/departures.py
+++ b/bench/mechanisms/departures.py
@@ -35,8 +35,16 @@
     mechanism.Mechanism(
         "a slot granted after the withdrawal is not used",
         "ingress/attempt.py",
-        "        if self._job.withdrawn:\n",
-        "        if False:\n",
+        "        if self._job.withdrawn:\n"
+        "            return codes.Code.NODE_LEAVING\n",
+        "",
+        _TESTS,
+    ),
+    mechanism.Mechanism(
+        "a withdrawn request isn't sent with an offer",
+        "ingress/attempt.py",
+        "        if self._job.withdrawn:\n            return self._failure",
+        "        if False:\n            return self._failure",
         _TESTS,
     ),
     mechanism.Mechanism(
--- a/packages/node/src/sardinedoor_node/ingress/attempt.py
+++ b/packages/node/src/sardinedoor_node/ingress/attempt.py
@@ -194,6 +194,8 @@
                 self._job.may_have_run |= outcome is not codes.Outcome.NOT_RUN
 
     async def _run_at_once(self) -> ForwardResult:
+        if self._job.withdrawn:
+            return self._failure(codes.Code.NODE_LEAVING)
         self._record_sending()
         if not await self._send_offer():
             return self._failure(codes.Code.LINK_DOWN)
--- a/tests/test_ingress/test_ingress_departure.py
+++ b/tests/test_ingress/test_ingress_departure.py
@@ -252,6 +252,14 @@
         self.assertEqual(_C.NODE_LEAVING, result.code)
         self.assertEqual([wire.Offer, wire.Cancel], sent)
 
+    def test_request_is_not_sent_with_an_offer_after_the_withdrawal(self):
+        """Its caller was told that it did not run, and it ran."""
+        job = self._job()
+        job.withdrawn = True
+        result, sent = self._run(job, False)
+        self.assertEqual(_C.NODE_LEAVING, result.code)
+        self.assertEqual([], sent)
+
     def test_slot_of_a_target_that_has_begun_to_leave_is_not_used(self):
         """Its owner may not know yet that the target is draining."""
         held = wire.Held(b"id", b"t", 500, b"o")
