--- a/packages/node/src/sardinedoor_node/published/__init__.py
+++ b/packages/node/src/sardinedoor_node/published/__init__.py
@@ -170,6 +170,27 @@
         """Returns the worker that a key belongs to, None for another key."""
 
 
+# Epoch of a replica that is empty, and of messages from nodes that don't know
+# epochs. It comes before all others.
+UNKNOWN_EPOCH = -1
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Version:
+    """Position in the history of the store; later positions are greater.
+
+    Attributes:
+        epoch: Rises each time that the store is restored from an older copy of
+            its content.
+        revision: Counter of the writes. After a restore it continues from the
+            revision of the copy, so revisions of different epochs can't be
+            compared.
+    """
+
+    epoch: int
+    revision: int
+
+
 @dataclasses.dataclass(slots=True)
 class Update:
     """A snapshot of a store, or the changes after a revision.
@@ -178,37 +199,54 @@
         revision: Revision of the store once the update is applied.
         items: Items written or deleted, the oldest first.
         is_snapshot: Whether the update has all items of the store.
+        epoch: Epoch of the store that the items and the revision belong to.
     """
 
     revision: int
     items: list[wire.Item]
     is_snapshot: bool = False
+    epoch: int = 0
+
+    @property
+    def version(self) -> Version:
+        """Position in the history of the store once the update is applied."""
+        return Version(self.epoch, self.revision)
 
 
 class ReadError(enum.Enum):
-    """Why a read of the store failed."""
+    """Why a read of the store failed.
+
+    After `HISTORY_GONE` and `RESTORED` only a snapshot helps: the store no longer
+    has the changes, or it is of a later epoch than the version asked for.
+    """
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     OVER_RATE = "over_rate"
     HISTORY_GONE = "history_gone"
+    RESTORED = "restored"
 
 
 class Source(abc.ABC):
     """A store of published items."""
 
     @abc.abstractmethod
-    async def read(self) -> result.Result[Update, ReadError]:
-        """Reads a snapshot of the store."""
+    async def read(self, epoch: int) -> result.Result[Update, ReadError]:
+        """Reads a snapshot of the store, all of which is of one epoch.
+
+        Args:
+            epoch: Epoch that the caller knows. Answers that don't name their
+                epoch are of this one, and those of an older one aren't used.
+        """
 
     @abc.abstractmethod
     async def watch(
-        self, revision: int, wait_s: float
+        self, version: Version, wait_s: float
     ) -> result.Result[Update, ReadError]:
-        """Waits for changes after a revision (long poll).
+        """Waits for changes after a version (long poll).
 
         Args:
-            revision: Revision that the caller has.
+            version: Version that the caller has.
             wait_s: Longest time to wait, in s.
 
         Returns:
--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -90,8 +90,14 @@
         self._store_returned_at = float("-inf")
         self._store_unreachable = False
         self.revision = 0
+        self.epoch = 0
         self.configuration: published.Configuration | None = None
 
+    @property
+    def version(self) -> published.Version:
+        """Version of the store that this replica has."""
+        return published.Version(self.epoch, self.revision)
+
     @property
     def contact_age_s(self) -> float:
         """Time since this replica was last known to be up to date, in s."""
--- a/packages/node/src/sardinedoor_node/published/follower.py
+++ b/packages/node/src/sardinedoor_node/published/follower.py
@@ -130,12 +130,12 @@
                 continue
             if self._watching:
                 response = await self._source.watch(
-                    self._replica.revision,
+                    self._replica.version,
                     self._times.watch_s if is_reader else 0.0,
                 )
             else:
                 self._metrics.event("store_read")
-                response = await self._source.read()
+                response = await self._source.read(self._replica.epoch)
             if response.is_ok():
                 self._apply(response.unwrap())
                 if response.unwrap().items:
--- a/packages/standins/src/sardinedoor_standins/publishedsim.py
+++ b/packages/standins/src/sardinedoor_standins/publishedsim.py
@@ -90,7 +90,7 @@
         self.reachable = True
 
     async def read(
-        self,
+        self, epoch: int
     ) -> result.Result[published.Update, published.ReadError]:
         """See base class."""
         if not await self._call():
@@ -98,9 +98,10 @@
         return result.Ok(self._store.snapshot())
 
     async def watch(
-        self, revision: int, wait_s: float
+        self, version: published.Version, wait_s: float
     ) -> result.Result[published.Update, published.ReadError]:
         """See base class."""
+        revision = version.revision
         if not await self._call():
             return result.Err(published.ReadError.UNREACHABLE)
         if self._store.revision <= revision and wait_s > 0:
