--- a/packages/node/src/sardinedoor_node/published/__init__.py
+++ b/packages/node/src/sardinedoor_node/published/__init__.py
@@ -40,6 +40,7 @@
         cold_start_left_s: Remaining time for which the worker is slow after
             its start, in s.
         started_ms: Unix time of the worker's start, in ms; 0 if unknown.
+        sequence: Number of the worker's write since its start; 0 if unknown.
     """
 
     name: str
@@ -50,6 +51,7 @@
     state: WorkerState = WorkerState.READY
     cold_start_left_s: float = 0.0
     started_ms: int = 0
+    sequence: int = 0
 
     @property
     def accepts_requests(self) -> bool:
--- a/packages/standins/src/sardinedoor_standins/publishedsim.py
+++ b/packages/standins/src/sardinedoor_standins/publishedsim.py
@@ -10,113 +10,21 @@
 import asyncio
 import random
 
-import result
-
 from sardinedoor_node import metrics
 from sardinedoor_node import published
 from sardinedoor_node.published import antientropy
 from sardinedoor_node.published import catalog
 from sardinedoor_node.published import fleet
 from sardinedoor_node.published import follower
-from sardinedoor_schema.generated import wire
 from sardinedoor_standins import memlink
+from sardinedoor_standins import storesim
 from sardinedoor_standins import textitems
 from sardinedoor_standins import virtualtime
 
-_CALL_S = 0.004
 _PORT = 7
 _CUT_S = 1e6
 
 
-class Store:
-    """Items with a single revision counter; answers reads and long polls.
-
-    Attributes:
-        calls: Number of reads and long polls so far.
-        revision: Revision of the last change.
-    """
-
-    def __init__(self) -> None:
-        """Starts empty."""
-        self.calls = 0
-        self.revision = 0
-        self._items: dict[str, wire.Item] = {}
-        self._history: list[wire.Item] = []
-        self._waiting: list[
-            tuple[asyncio.AbstractEventLoop, asyncio.Event]
-        ] = []
-
-    def put(self, key: str, value: bytes, deleted: bool = False) -> None:
-        """Writes or deletes an item."""
-        self.revision += 1
-        item = wire.Item(key, self.revision, value, deleted)
-        self._history.append(item)
-        self._items[key] = item
-        for loop, event in self._waiting:
-            loop.call_soon(event.set)
-        self._waiting.clear()
-
-    def snapshot(self) -> published.Update:
-        """Returns all items."""
-        live = [item for item in self._items.values() if not item.deleted]
-        return published.Update(self.revision, live, True)
-
-    def changes_since(self, revision: int) -> published.Update:
-        """Returns the changes after a revision."""
-        found = [i for i in self._history if i.revision > revision]
-        return published.Update(self.revision, found)
-
-    async def wait_for_change(self, timeout_s: float) -> None:
-        """Waits until an item changes or the timeout, in s, ends."""
-        event = asyncio.Event()
-        self._waiting.append((asyncio.get_running_loop(), event))
-        try:
-            async with asyncio.timeout(timeout_s):
-                await event.wait()
-        except TimeoutError:
-            pass
-
-
-class StoreReader(published.Source):
-    """One node's connection to the store.
-
-    Attributes:
-        reachable: Whether the node reaches the store.
-    """
-
-    def __init__(self, store: Store):
-        """Creates a connection that works."""
-        self._store = store
-        self.reachable = True
-
-    async def read(
-        self, epoch: int
-    ) -> result.Result[published.Update, published.ReadError]:
-        """See base class."""
-        if not await self._call():
-            return result.Err(published.ReadError.UNREACHABLE)
-        return result.Ok(self._store.snapshot())
-
-    async def watch(
-        self, version: published.Version, wait_s: float
-    ) -> result.Result[published.Update, published.ReadError]:
-        """See base class."""
-        revision = version.revision
-        if not await self._call():
-            return result.Err(published.ReadError.UNREACHABLE)
-        if self._store.revision <= revision and wait_s > 0:
-            await self._store.wait_for_change(wait_s)
-        if not self.reachable:
-            return result.Err(published.ReadError.UNREACHABLE)
-        return result.Ok(self._store.changes_since(revision))
-
-    async def _call(self) -> bool:
-        if self.reachable:
-            self._store.calls += 1
-        await asyncio.sleep(_CALL_S)
-        return self.reachable
-
-
 class ItemFormat(abc.ABC):
     """Format of the published items."""
 
@@ -146,8 +54,8 @@
 
     def worker(self, name: str, host: str, domain: str) -> tuple[str, bytes]:
         """See base class."""
-        value = f"{host}:80/pay/1/ready/{domain}"
-        return textitems.WORKER + name, value.encode()
+        value = textitems.worker_value(f"{host}:80", domain=domain)
+        return textitems.WORKER + name, value
 
 
 class Node:
@@ -170,9 +78,11 @@
         apply_s: float,
     ):
         """Builds the components; `start` runs them."""
-        self.link = f"{_host(number)}:{_PORT}"
+        self.link = f"{host_of(number)}:{_PORT}"
         self.failure_domain = failure_domain
-        self.store = StoreReader(simulation.store)
+        self.store = storesim.StoreReader(
+            simulation.store, self.link, failure_domain
+        )
         self._tasks: list[asyncio.Task] = []
         self.loop = simulation.timeline.new_loop()
         clock = virtualtime.VirtualClock(simulation.timeline)
@@ -236,6 +146,7 @@
         store: The store.
         nodes: The nodes.
         item_format: Format of the published items.
+        version: Highest version of the configuration that was published.
         rng: Source of all random choices.
     """
 
@@ -261,8 +172,9 @@
         self.rng = random.Random(seed)
         self.timeline = virtualtime.Timeline()
         self.network = memlink.Network(self.timeline, self.rng)
-        self.store = Store()
-        self.store.put(*self.item_format.configuration(1))
+        self.store = storesim.Store()
+        self.version = 1
+        self.store.put(*self.item_format.configuration(self.version))
         self.nodes: list[Node] = []
         for number in range(1, node_count + 1):
             domain = f"d{number % domains}"
@@ -279,13 +191,13 @@
             number: Number from which its address is made.
             domain: Its failure domain.
         """
-        self.store.put(*self.item_format.worker(name, _host(number), domain))
+        self.store.put(*self.item_format.worker(name, host_of(number), domain))
 
     def change(self) -> int:
         """Publishes the next version of the configuration and returns it."""
-        version = self.store.revision + 1
-        self.store.put(*self.item_format.configuration(version))
-        return version
+        self.version += 1
+        self.store.put(*self.item_format.configuration(self.version))
+        return self.version
 
     def run(self, seconds: float) -> None:
         """Runs all nodes for some seconds of virtual time."""
@@ -310,10 +222,16 @@
                 self.network.cut(node.link, other.link, seconds)
                 self.network.cut(other.link, node.link, seconds)
 
+    def refuse(self, nodes: list[Node], refused: bool = True) -> None:
+        """Makes the store refuse nodes, or answer them again."""
+        for node in nodes:
+            node.store.refused = refused
+
     def behind(self, version: int) -> list[str]:
         """Lists the nodes that have an earlier version in force."""
         return [node.link for node in self.nodes if node.version < version]
 
 
-def _host(number: int) -> str:
+def host_of(number: int) -> str:
+    """Returns the IP address of a node and its worker, by the node's number."""
     return f"10.0.{number // 250}.{number % 250 + 1}"
