--- a/packages/standins/src/sardinedoor_standins/publishedsim.py
+++ b/packages/standins/src/sardinedoor_standins/publishedsim.py
@@ -157,6 +157,7 @@
         apply_s: float,
         seed: int,
         item_format: ItemFormat | None = None,
+        faults: memlink.FrameFaults | None = None,
     ):
         """Publishes one worker for each node and starts the nodes.
 
@@ -166,12 +167,13 @@
             apply_s: Time in which a change must be in force, in s.
             seed: Seed of all random choices.
             item_format: Format of the items; None for the text form.
+            faults: Faults of the links between the nodes; None for none.
         """
         self.item_format = item_format or TextFormat()
         self._apply_s = apply_s
         self.rng = random.Random(seed)
         self.timeline = virtualtime.Timeline()
-        self.network = memlink.Network(self.timeline, self.rng)
+        self.network = memlink.Network(self.timeline, self.rng, faults)
         self.store = storesim.Store()
         self.version = 1
         self.store.put(*self.item_format.configuration(self.version))
