--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import logging
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from sardinedoor_node import published
 from sardinedoor_node.published import contact
 from sardinedoor_node.published import inforce
+from sardinedoor_node.published import itemtable
 from sardinedoor_node.published import refusals
 from sardinedoor_node.published import retained
 from sardinedoor_node.published import workerindex
@@ -26,8 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A peer that needs older tombstones gets a snapshot instead.
-_MAX_TOMBSTONES = 1_000
 # Bounds the length of a log line.
 _MAX_LOGGED_NAMES = 8
 
@@ -45,8 +43,6 @@
     the entries that the copy lacks.
 
     Attributes:
-        revision: Revision of the store that this replica has.
-        epoch: Epoch of the store that the revision belongs to.
         awaits_peers: Whether the content comes from the store alone, and its
             configuration isn't in force before `admit`.
     """
@@ -71,11 +67,7 @@
         self._metrics = counters
         self._decoder = decoder
         self._asks_peers = asks_peers
-        self._items: dict[str, wire.Item] = {}
-        self._tombstones: collections.OrderedDict[str, wire.Item] = (
-            collections.OrderedDict()
-        )
-        self._compacted_revision = 0
+        self._table = itemtable.ItemTable()
         self._retained = retained.RetainedItems(decoder, counters)
         self._listeners = listeners.ListenerGroup("catalog changed", counters)
         self._workers = workerindex.WorkerIndex(
@@ -83,8 +75,6 @@
         )
         self._contact = contact.StoreContact(time, counters)
         self._configuration = inforce.ConfigurationInForce(counters)
-        self.revision = 0
-        self.epoch = published.UNKNOWN_EPOCH
         self.awaits_peers = False
 
     @property
@@ -100,7 +90,17 @@
     @property
     def version(self) -> published.Version:
         """Version of the store that this replica has."""
-        return published.Version(self.epoch, self.revision)
+        return self._table.version
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the store that the revision belongs to."""
+        return self._table.epoch
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store that this replica has."""
+        return self._table.revision
 
     @property
     def contact_age_s(self) -> float:
@@ -156,22 +156,8 @@
         return configuration is None or service in configuration.connections
 
     def changes_since(self, version: published.Version) -> published.Update:
-        """Returns the update that a replica at an earlier version needs.
-
-        It is a snapshot if tombstones after that version were discarded, or if
-        the version is of another epoch.
-        """
-        if (
-            version.epoch != self.epoch
-            or version.revision < self._compacted_revision
-        ):
-            return published.Update(
-                self.revision, list(self._items.values()), True, self.epoch
-            )
-        after = version.revision
-        found = [i for i in self._items.values() if i.revision > after]
-        found += [i for i in self._tombstones.values() if i.revision > after]
-        return published.Update(self.revision, found, epoch=self.epoch)
+        """Returns the update that a replica at an earlier version needs."""
+        return self._table.changes_since(version)
 
     def apply(self, update: published.Update, origin: str) -> bool:
         """Applies an update unless it is older than the replica.
@@ -226,13 +212,9 @@
         """
         items = list(update.items)
         if update.is_snapshot:
-            items += self._implied_deletions(update)
-        self.epoch = update.epoch
+            items += self._table.missing_in(update)
         applied = [item for item in items if self._apply_item(item)]
-        self.revision = update.revision
-        if update.is_snapshot:
-            self._compacted_revision = update.revision
-            self._tombstones.clear()
+        self._table.advance(update)
         return applied
 
     def _restore(
@@ -245,29 +227,15 @@
         """
         previous = self.version
         in_force = self._items_in_force()
-        replaced = self._items
-        was_retained = {kept.item.key for kept in self._retained.all()}
-        self._items = {i.key: i for i in update.items if not i.deleted}
-        self._tombstones.clear()
-        self.epoch = update.epoch
-        self.revision = self._compacted_revision = update.revision
+        again = {kept.item.key for kept in self._retained.all()}
+        changed = self._table.replace(update)
         # Workers write what was lost again, as after an outage.
         self._contact.returned()
         self._workers.extend_lapsed(self._contact.lapses_at)
-        self._retained.begin_epoch(self._items, in_force)
-        changed = [
-            item
-            for key, item in self._items.items()
-            if key not in replaced
-            or replaced[key].value != item.value
-            or key in was_retained
-            or self._retained.get(key) is not None
-        ]
-        changed += [
-            wire.Item(key, update.revision, deleted=True)
-            for key in replaced
-            if key not in self._items
-        ]
+        self._retained.begin_epoch(self._table.all(), in_force)
+        again.update(kept.item.key for kept in self._retained.all())
+        again.difference_update(item.key for item in changed)
+        changed += filter(None, map(self._table.get, again))
         for item in changed:
             kept = self._retained.get(item.key)
             if item.key in in_force and (kept or item).deleted:
@@ -308,7 +276,7 @@
         The entries of workers whose address another one has taken are marked as
         deleted; lapsed ones aren't, since their workers may still be there.
         """
-        found = dict(self._items)
+        found = {item.key: item for item in self._table.all()}
         for kept in self._retained.all():
             found[kept.item.key] = kept.item
         for item in self._retained.departed():
@@ -321,15 +289,6 @@
                 found[key] = msgspec.structs.replace(item, deleted=True)
         return found
 
-    def _implied_deletions(self, update: published.Update) -> list[wire.Item]:
-        """Returns tombstones for the items that a snapshot doesn't contain."""
-        present = {item.key for item in update.items}
-        return [
-            wire.Item(key, update.revision, deleted=True)
-            for key, item in self._items.items()
-            if key not in present and item.revision <= update.revision
-        ]
-
     def retained_items(self) -> list[wire.RetainedItem]:
         """Lists the items that are in force instead of those of the store."""
         return self._retained.all()
@@ -352,7 +311,7 @@
             before = self._configuration.value
             self._decode(kept.item)
             return self._configuration.value is not before
-        own = self._items.get(key)
+        own = self._table.get(key)
         if own is None or own.revision != kept.replaces:
             return False
         if not self._retained.is_preferred(kept.item):
@@ -374,24 +333,13 @@
         self._listeners.notify()
 
     def _apply_item(self, item: wire.Item) -> bool:
-        known = self._items.get(item.key) or self._tombstones.get(item.key)
-        if known is not None and known.revision >= item.revision:
+        replaced = self._retained.get(item.key) or self._table.get(item.key)
+        if not self._table.put(item):
             return False
-        if item.deleted:
-            gone = self._retained.get(item.key) or self._items.get(item.key)
-            if gone is not None:
-                self._retained.remember(gone)
-            self._items.pop(item.key, None)
-            self._tombstones[item.key] = item
-            if len(self._tombstones) > _MAX_TOMBSTONES:
-                _, oldest = self._tombstones.popitem(last=False)
-                self._compacted_revision = max(
-                    self._compacted_revision, oldest.revision
-                )
-        else:
-            self._tombstones.pop(item.key, None)
+        if not item.deleted:
             self._retained.forget(item.key)
-            self._items[item.key] = item
+        elif replaced is not None:
+            self._retained.remember(replaced)
         # Whatever is written after a restore is newer than what was retained.
         self._retained.discard(item.key)
         self._decode(item)
@@ -407,7 +355,7 @@
         found = self._decoder.configuration(item)
         if found is None:
             return
-        is_stored = self._items.get(item.key) is item
+        is_stored = self._table.get(item.key) is item
         self._configuration.offer(found, item, is_stored)
         self._retain_configuration()
 
@@ -442,7 +390,7 @@
         in_force = self._configuration.item
         if in_force is None:
             return
-        stored = self._items.get(in_force.key)
+        stored = self._table.get(in_force.key)
         if stored is not None and stored.value == in_force.value:
             self._retained.discard(in_force.key)
         elif self._retained.get(in_force.key) is not in_force:
--- a/packages/node/src/sardinedoor_node/published/retained.py
+++ b/packages/node/src/sardinedoor_node/published/retained.py
@@ -13,6 +13,8 @@
 from sardinedoor_schema.generated import wire
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sardinedoor_node import metrics
     from sardinedoor_node import published
 
@@ -105,19 +107,19 @@
         return list(self._departed.values())
 
     def begin_epoch(
-        self, stored: dict[str, wire.Item], in_force: dict[str, wire.Item]
+        self, stored: Iterable[wire.Item], in_force: dict[str, wire.Item]
     ) -> None:
         """Retains what is newer than the restored store says.
 
         Args:
-            stored: The items of the restored store, by key.
+            stored: The items of the restored store.
             in_force: The items that were in force before, by key; those of
                 workers that were replaced are marked as deleted.
         """
         self._items.clear()
         self._checksum = None
-        for key, item in stored.items():
-            earlier = in_force.get(key) or self._departed.get(key)
+        for item in stored:
+            earlier = in_force.get(item.key) or self._departed.get(item.key)
             if earlier is None:
                 continue
             kept = self._choose(item, earlier)
