--- a/packages/node/src/sardinedoor_node/published/antientropy.py
+++ b/packages/node/src/sardinedoor_node/published/antientropy.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 from sardinedoor_node import published
-from sardinedoor_node.published import compression
+from sardinedoor_node.published import itemtransfer
+from sardinedoor_node.published import peercheck
+from sardinedoor_node.published import retainedexchange
 from sardinedoor_node.util import listeners
 from sardinedoor_schema.generated import wire
 
@@ -45,6 +47,9 @@
 # push it on, unless they know of one that is hardly older.
 _CONTACT_FANOUT = 2
 _MIN_CONTACT_GAIN_S = 0.3
+# Version and age of contact of a node whose replica is empty or isn't used yet.
+_NO_VERSION = published.Version(published.UNKNOWN_EPOCH, 0)
+_NEVER_MS = 1_000_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,21 +58,27 @@
 
     Attributes:
         channel: Channel to the peer with the newer replica.
-        revision: Revision of that replica.
+        version: Version of that replica.
         heard_at: When the peer's digest came, monotonic, in s.
     """
 
     channel: link.Channel
-    revision: int
+    version: published.Version
     heard_at: float
 
 
 class AntiEntropy:
     """Exchanges digests with random peers and transfers missing items.
 
-    A digest carries the revision of a node's replica, and whether nothing is known
-    of its worker's health. Within a failure domain
-    the newer node sends its items at once; between domains a pull is delayed.
+    A digest carries the version of a node's replica, a checksum of the items that
+    it retains from before a restore of the store, and whether nothing is known of
+    its worker's health. Within a failure domain the newer node sends its items at
+    once; between domains a pull is delayed. Retained items are merged by both
+    nodes.
+
+    Nodes that don't know epochs run an older version of the program. A node that
+    knows an epoch doesn't use their items, since these can't be compared with its
+    own, and sends them its whole replica if they ask for it.
     """
 
     def __init__(
@@ -91,7 +102,8 @@
             transport: The node's links.
             time: Source of the monotonic time.
             rng: Chooses peers and jitters the interval.
-            counters: Counts the failures of listeners.
+            counters: Counts the failures of listeners, and items of peers
+                that aren't used.
         """
         self._own_link = own_link
         self._domain = failure_domain
@@ -103,14 +115,20 @@
         self._last_digest_at: dict[str, float] = {}
         self._round = 0
         self._pending_pull: _PendingPull | None = None
-        self._pulled_revision = -1
+        self._pulled_version = _NO_VERSION
         self._pulled_at = float("-inf")
         self._pushed_contact_at = float("-inf")
-        self._compressor = compression.ItemCompressor()
+        self._transfer = itemtransfer.ItemTransfer(replica, counters)
+        self._retained = retainedexchange.RetainedExchange(
+            replica, self._transfer, time
+        )
+        self._check = peercheck.PeerCheck(
+            replica, peers, failure_domain, time, rng, self._ask_digest
+        )
         self._digest_listeners = listeners.ListenerGroup(
             "digest received", counters
         )
-        replica.on_change(self._push_digests)
+        replica.on_change(self._on_change)
         replica.on_contact(self._push_contact)
         self._unproven_listeners = listeners.ListenerGroup(
             "unproven worker", counters
@@ -125,9 +143,9 @@
     async def run(self) -> None:
         """Runs rounds of anti-entropy until cancelled."""
         while True:
-            await self._clock.sleep(
-                GOSSIP_INTERVAL_S * self._rng.uniform(0.8, 1.2)
-            )
+            interval_s = GOSSIP_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+            await self._clock.sleep(min(interval_s, self._check.remaining_s))
+            self._check.step()
             self._pull_if_overdue()
             name = self._choose_peer()
             if name:
@@ -155,12 +173,17 @@
         digest.ask = True
         channel.send(digest)
 
+    def _ask_digest(self, name: str) -> None:
+        self.request_digest(self._transport.connect(name, name))
+
     def _push_contact(self) -> None:
         """Tells some peers that the replica was just current.
 
         Without this, peers would learn it only after several rounds, and read
         the store themselves.
         """
+        if self._catalog.awaits_peers:
+            return
         contact_at = self._clock.monotonic() - self._catalog.contact_age_s
         if contact_at - self._pushed_contact_at < _MIN_CONTACT_GAIN_S:
             return
@@ -169,6 +192,12 @@
         for name in self._rng.sample(near, min(_CONTACT_FANOUT, len(near))):
             self._send_digest(name)
 
+    def _on_change(self) -> None:
+        if not self._catalog.awaits_peers:
+            self._push_digests()
+        elif not self._check.has_begun:
+            self._check.step()
+
     def _push_digests(self) -> None:
         near, far = self._fleet.live_peers(self._domain)
         targets = self._rng.sample(near, min(PUSH_FANOUT, len(near)))
@@ -205,18 +234,23 @@
         channel.send(self._make_digest())
 
     def _make_digest(self) -> wire.Digest:
+        version = self._catalog.version
+        contact_ms = self._transfer.contact_ms()
+        retained = self._catalog.retained_checksum
+        if self._catalog.awaits_peers:
+            # Two nodes that both wait must not confirm each other.
+            version, contact_ms, retained = _NO_VERSION, _NEVER_MS, 0
         return wire.Digest(
             self._own_link,
-            self._catalog.revision,
-            self._contact_ms(),
+            version.revision,
+            contact_ms,
             self.leaving,
             inflates=True,
             unproven=self.is_unproven(),
+            epoch=version.epoch,
+            retained=retained,
         )
 
-    def _contact_ms(self) -> int:
-        return int(min(self._catalog.contact_age_s, 1e6) * 1000)
-
     def _on_digest(self, channel: link.Channel, digest: wire.Digest) -> None:
         self._last_digest_at[digest.link] = self._clock.monotonic()
         if digest.leaving:
@@ -228,88 +262,115 @@
             self._unproven_listeners.notify(digest.link)
         if digest.ask:
             channel.send(self._make_digest())
-        own = self._catalog.revision
-        if digest.revision == own:
-            self._catalog.confirm_current(digest.contact_ms / 1000)
-        elif self._fleet.is_in_other_domain(digest.link, self._domain):
-            if digest.revision < own:
+        theirs = published.Version(digest.epoch, digest.revision)
+        if self._catalog.awaits_peers:
+            self._compare_at_start(channel, digest, theirs)
+        else:
+            self._compare(channel, digest, theirs)
+
+    def _compare(
+        self,
+        channel: link.Channel,
+        digest: wire.Digest,
+        theirs: published.Version,
+    ) -> None:
+        own = self._catalog.version
+        is_far = self._fleet.is_in_other_domain(digest.link, self._domain)
+        if itemtransfer.is_unplaced(theirs, own):
+            # It pulls if the digest has a greater revision than its replica.
+            if theirs.revision < own.revision and not digest.ask:
                 channel.send(self._make_digest())
+        elif theirs == own:
+            self._catalog.confirm_current(digest.contact_ms / 1000)
+            self._retained.on_digest(channel, digest)
+        elif theirs > own:
+            if not is_far:
+                self._pull(channel, theirs)
             elif self._pending_pull is None:
                 now = self._clock.monotonic()
-                self._pending_pull = _PendingPull(channel, digest.revision, now)
-        elif digest.revision > own:
-            self._pull(channel, digest.revision)
+                self._pending_pull = _PendingPull(channel, theirs, now)
+        elif is_far:
+            channel.send(self._make_digest())
         else:
-            self._send_items(channel, digest.revision, digest.inflates)
+            self._send_changes(channel, digest, theirs)
+
+    def _compare_at_start(
+        self,
+        channel: link.Channel,
+        digest: wire.Digest,
+        theirs: published.Version,
+    ) -> None:
+        """Compares while the replica isn't used until a peer confirms it."""
+        own = self._catalog.version
+        if theirs.revision == 0 or itemtransfer.is_unplaced(theirs, own):
+            return
+        if theirs == own:
+            self._catalog.confirm_current(digest.contact_ms / 1000)
+        if theirs.epoch < own.epoch:
+            if self._check.may_update(digest.link):
+                self._send_changes(channel, digest, theirs)
+                self.request_digest(channel)
+            return
+        is_confirmed = self._check.confirm(theirs.epoch, digest.retained)
+        if theirs > own:
+            self._pull(channel, theirs)
+        elif not is_confirmed:
+            self._retained.pull(channel, digest.retained)
 
     def _pull_if_overdue(self) -> None:
         """Pulls from another domain if the own domain hasn't caught up."""
         pending = self._pending_pull
         if pending is None:
             return
-        if pending.revision > self._catalog.revision:
+        if pending.version > self._catalog.version:
             if (
                 self._clock.monotonic() - pending.heard_at
                 < OTHER_DOMAIN_PULL_DELAY_S
             ):
                 return
-            self._pull(pending.channel, pending.revision)
+            self._pull(pending.channel, pending.version)
         self._pending_pull = None
 
-    def _pull(self, channel: link.Channel, revision: int) -> None:
+    def _pull(self, channel: link.Channel, version: published.Version) -> None:
         """Asks a peer for items, unless they were just asked for.
 
         Args:
             channel: Channel to the peer.
-            revision: Revision of the peer's replica.
+            version: Version of the peer's replica.
         """
         now = self._clock.monotonic()
         if (
-            revision <= self._pulled_revision
+            version <= self._pulled_version
             and now - self._pulled_at < PULL_TIMEOUT_S
         ):
             return
-        self._pulled_revision = revision
+        self._pulled_version = version
         self._pulled_at = now
-        channel.send(wire.ItemsPull(self._catalog.revision, inflates=True))
+        channel.send(self._transfer.make_pull())
 
     def _on_pull(self, channel: link.Channel, pull: wire.ItemsPull) -> None:
-        if pull.revision < self._catalog.revision:
-            self._send_items(channel, pull.revision, pull.inflates)
+        theirs = published.Version(pull.epoch, pull.revision)
+        if theirs < self._catalog.version:
+            self._send_changes(channel, pull, theirs)
+        else:
+            self._retained.on_pull(channel, pull)
 
-    def _send_items(
-        self, channel: link.Channel, revision: int, inflates: bool
+    def _send_changes(
+        self,
+        channel: link.Channel,
+        asked: wire.Digest | wire.ItemsPull,
+        theirs: published.Version,
     ) -> None:
-        update = self._catalog.changes_since(
-            published.Version(self._catalog.epoch, revision)
-        )
-        items = update.items
-        if inflates:
-            items = [self._compressor.compress(item) for item in items]
         channel.send(
-            wire.Items(
-                update.revision,
-                self._contact_ms(),
-                update.is_snapshot,
-                items,
-            )
+            self._transfer.make_changes(theirs, asked.retained, asked.inflates)
         )
 
     def _on_items(self, channel: link.Channel, items: wire.Items) -> None:
-        del channel
-        inflated = []
-        for item in items.items:
-            outcome = compression.inflate(item)
-            if outcome.is_err():
-                # Without this item the replica would be at a revision that it
-                # doesn't hold.
-                logger.warning(
-                    "items of a peer refused",
-                    extra={"key": item.key, "reason": outcome.unwrap_err()},
-                )
-                return
-            inflated.append(outcome.unwrap())
-        update = published.Update(items.revision, inflated, items.whole)
-        self._catalog.apply(update, "peer")
-        if self._catalog.revision == items.revision:
-            self._catalog.confirm_current(items.contact_ms / 1000)
+        retained = self._catalog.retained_checksum
+        if not self._transfer.apply(items):
+            return
+        if self._catalog.awaits_peers and items.revision:
+            # The peer has sent all that it retains.
+            self._check.confirm(items.epoch, self._catalog.retained_checksum)
+        if not retained and self._catalog.retained_checksum:
+            channel.send(self._make_digest())
--- a/packages/node/src/sardinedoor_node/published/compression.py
+++ b/packages/node/src/sardinedoor_node/published/compression.py
@@ -23,19 +23,22 @@
     """Compresses each version of an item once."""
 
     def __init__(self) -> None:
-        self._cache: dict[str, wire.Item] = {}
+        # Each item with its compressed form.
+        self._cache: dict[str, tuple[wire.Item, wire.Item]] = {}
 
     def compress(self, item: wire.Item) -> wire.Item:
         """Returns an item with its value compressed, if it is large."""
         if len(item.value) < _MIN_BYTES:
             return item
-        cached = self._cache.get(item.key)
-        if cached is None or cached.revision != item.revision:
-            cached = msgspec.structs.replace(
+        known, compressed = self._cache.get(item.key, (None, None))
+        # A restored store gives revisions out again, so that two versions of
+        # an item can have the same one.
+        if known is None or known != item:
+            compressed = msgspec.structs.replace(
                 item, value=zlib.compress(item.value, _LEVEL), deflated=True
             )
-            self._cache[item.key] = cached
-        return cached
+            self._cache[item.key] = item, compressed
+        return compressed
 
 
 def inflate(item: wire.Item) -> result.Result[wire.Item, str]:
