--- a/tests/test_published/test_published_restore.py
+++ b/tests/test_published/test_published_restore.py
@@ -329,6 +329,48 @@
         self._change(1, _worker(6, "next", started_ms=9))
         self.assertEqual(["next"], self._names())
 
+    def test_address_that_its_later_worker_leaves_is_not_given_back(self):
+        """The earlier worker was kept, as the copy lacks it."""
+        self._snapshot(0, 9, _worker(9, "old", started_ms=1))
+        self._snapshot(1, 5)
+        self._change(1, _worker(6, "new", started_ms=5))
+        self.assertEqual(["new"], self._names())
+        self._change(1, _worker(7, "new", started_ms=5, state="draining"))
+        self._change(1, _tombstone(8, "new"))
+        self.assertEqual([], self._names())
+
+    def test_replaced_worker_is_not_kept_when_its_entry_goes(self):
+        """Both entries go in one update, soon after a restore."""
+        old = _worker(2, "old", started_ms=1)
+        self._snapshot(0, 9, old)
+        self._snapshot(1, 5, old)
+        self._change(1, _worker(6, "new", started_ms=5))
+        draining = _worker(7, "new", started_ms=5, state="draining")
+        self._change(1, draining, _tombstone(8, "old"), _tombstone(9, "new"))
+        self.assertEqual([], self._names())
+
+    def test_replaced_worker_of_the_copy_is_not_used_after_the_later_one(self):
+        """The deletion of its entry was lost; the node started after that."""
+        old = _worker(2, "old", started_ms=1)
+        new = _worker(3, "new", started_ms=5)
+        self._snapshot(1, 5, old, new)
+        self.assertEqual(["new"], self._names())
+        self._change(1, _worker(6, "new", started_ms=5, state="draining"))
+        self._change(1, _tombstone(7, "new"))
+        self.assertEqual([], self._names())
+
+    def test_worker_deleted_soon_after_a_restore_lapses_after_the_next(self):
+        """It may have expired or left; it writes again if it is there."""
+        ready = _worker(2, "one", sequence=1)
+        self._snapshot(0, 9, ready)
+        self._snapshot(1, 5, ready)
+        self._change(1, _tombstone(6, "one"))
+        self._snapshot(2, 5, ready)
+        self._end_grace()
+        self.assertEqual([], self._names())
+        self._change(2, _worker(6, "one", sequence=2))
+        self.assertEqual(["one"], self._names())
+
 
 class _FleetTest(testtools.TestCase):
     """Base class of the tests of nodes on the virtual clock."""
