--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -19,7 +19,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Container
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from sardinedoor_node import metrics
     from sardinedoor_node.util import clock
@@ -71,7 +73,7 @@
         self._retained = retained.RetainedItems(decoder, counters)
         self._listeners = listeners.ListenerGroup("catalog changed", counters)
         self._workers = workerindex.WorkerIndex(
-            self.is_configured, self._listeners.notify, time
+            self._configured_services, self._listeners.notify, time
         )
         self._contact = contact.StoreContact(time, counters)
         self._configuration = inforce.ConfigurationInForce(counters)
@@ -152,19 +154,30 @@
 
         Before there is a configuration, no service can be ruled out.
         """
+        services = self._configured_services()
+        return services is None or service in services
+
+    def _configured_services(self) -> Container[str] | None:
         configuration = self.configuration
-        return configuration is None or service in configuration.connections
+        return configuration.connections if configuration else None
 
     def changes_since(self, version: published.Version) -> published.Update:
         """Returns the update that a replica at an earlier version needs."""
         return self._table.changes_since(version)
 
-    def apply(self, update: published.Update, origin: str) -> bool:
+    def apply(
+        self,
+        update: published.Update,
+        origin: str,
+        kept: Sequence[wire.RetainedItem] = (),
+    ) -> bool:
         """Applies an update unless it is older than the replica.
 
         Args:
             update: Update from the store or from a peer.
             origin: Where the update comes from, for the log.
+            kept: What the peer retains from before a restore, of the epoch of
+                the update. It is taken even if the update is older.
 
         Returns:
             True if any item changed.
@@ -172,6 +185,8 @@
         if not self._is_newer(update):
             if update.is_snapshot:
                 self._record_older(update, origin)
+            if update.epoch == self.epoch:
+                self._merge_retained(kept)
             return False
         if self.revision == 0 and origin == "store":
             self.awaits_peers = self._asks_peers
@@ -179,7 +194,9 @@
             applied = self._restore(update, origin)
         else:
             applied = self._advance(update)
-        if applied:
+        # Listeners are told once, so that no item of the copy is in force before.
+        merged = [self._merge(item) for item in kept]
+        if applied or any(merged):
             self._workers.rebuild()
             logger.info(
                 "published changes taken",
@@ -264,7 +281,7 @@
         name = self._decoder.worker_name(item.key)
         if name is None:
             return
-        self._retained.remember(item)
+        self._retained.remember(item, has_left=item.deleted)
         if self._workers.is_replaced(name):
             self._workers.discard(name)
         else:
@@ -274,11 +291,16 @@
         """Returns the items that are in force by key.
 
         The entries of workers whose address another one has taken are marked as
-        deleted.
+        deleted. Those that were missing from the last copy aren't, as long as
+        their workers may still write again.
         """
         found = {item.key: item for item in self._table.all()}
         for kept in self._retained.all():
             found[kept.item.key] = kept.item
+        for item in self._retained.missing():
+            name = self._decoder.worker_name(item.key)
+            if name is not None and self._workers.is_lapsed(name):
+                found[item.key] = item
         for key, item in found.items():
             name = self._decoder.worker_name(key)
             if name is not None and self._workers.is_replaced(name):
@@ -289,12 +311,7 @@
         """Lists the items that are in force instead of those of the store."""
         return self._retained.all()
 
-    def merge_retained(self, items: list[wire.RetainedItem]) -> None:
-        """Takes over what a peer retains from before the restore.
-
-        Args:
-            items: The peer's retained items, of the same epoch as this replica.
-        """
+    def _merge_retained(self, items: Sequence[wire.RetainedItem]) -> None:
         merged = [self._merge(kept) for kept in items]
         if any(merged):
             self._workers.rebuild()
@@ -335,7 +352,7 @@
         if not item.deleted:
             self._retained.forget(item.key)
         elif replaced is not None:
-            self._retained.remember(replaced)
+            self._retained.remember(replaced, has_left=True)
         # Whatever is written after a restore is newer than what was retained.
         self._retained.discard(item.key)
         self._decode(item)
--- a/packages/node/src/sardinedoor_node/published/itemtransfer.py
+++ b/packages/node/src/sardinedoor_node/published/itemtransfer.py
@@ -124,11 +124,9 @@
                 extra={"key": e.key, "reason": str(e)},
             )
             return False
-        self._catalog.apply(update, "peer")
+        self._catalog.apply(update, "peer", retained)
         if self._catalog.version == update.version:
             self._catalog.confirm_current(message.contact_ms / 1000)
-        if retained and self._catalog.version.epoch == message.epoch:
-            self._catalog.merge_retained(retained)
         return True
 
     def _record_unplaced(self, message: wire.Items) -> None:
--- a/packages/node/src/sardinedoor_node/published/retained.py
+++ b/packages/node/src/sardinedoor_node/published/retained.py
@@ -43,7 +43,8 @@
         self._decoder = decoder
         self._metrics = counters
         self._items: dict[str, wire.RetainedItem] = {}
-        # Last entries of workers that have left, marked as deleted.
+        # Last entries of workers that the store no longer has. Those that were
+        # missing from a copy aren't marked as deleted.
         self._departed: collections.OrderedDict[str, wire.Item] = (
             collections.OrderedDict()
         )
@@ -91,9 +92,16 @@
         if not self._items:
             logger.info("nothing is retained from before the restore")
 
-    def remember(self, item: wire.Item) -> None:
-        """Records the last entry of a worker that has left."""
-        self._departed[item.key] = msgspec.structs.replace(item, deleted=True)
+    def remember(self, item: wire.Item, has_left: bool) -> None:
+        """Records the last entry of a worker that the store no longer has.
+
+        Args:
+            item: The entry.
+            has_left: Whether it was deleted, and not only missing from a copy.
+        """
+        self._departed[item.key] = msgspec.structs.replace(
+            item, deleted=has_left
+        )
         self._departed.move_to_end(item.key)
         if len(self._departed) > _MAX_DEPARTED:
             self._departed.popitem(last=False)
@@ -102,6 +110,10 @@
         """Drops what is known of a worker that has left."""
         self._departed.pop(key, None)
 
+    def missing(self) -> list[wire.Item]:
+        """Lists the last entries of workers that were missing from a copy."""
+        return [item for item in self._departed.values() if not item.deleted]
+
     def begin_epoch(
         self, stored: Iterable[wire.Item], in_force: dict[str, wire.Item]
     ) -> None:
@@ -110,12 +122,16 @@
         Args:
             stored: The items of the restored store.
             in_force: The items that were in force before, by key; those of
-                workers that were replaced are marked as deleted.
+                workers that have left are marked as deleted.
         """
         self._items.clear()
         self._checksum = None
         for item in stored:
-            earlier = in_force.get(item.key) or self._departed.get(item.key)
+            earlier = in_force.get(item.key)
+            if earlier is None and item.key in self._departed:
+                earlier = msgspec.structs.replace(
+                    self._departed[item.key], deleted=True
+                )
             if earlier is None:
                 continue
             kept = self._choose(item, earlier)
@@ -148,12 +164,12 @@
         """
         ours = _rank(self._decoder, earlier)
         theirs = _rank(self._decoder, stored)
-        if ours is None or theirs is None or theirs.position > ours.position:
+        if ours is None or theirs is None:
+            return None
+        if theirs.drains or theirs.position > ours.position:
             return None
-        if earlier.deleted:
+        if earlier.deleted or ours.drains:
             return earlier
-        if ours.drains:
-            return None if theirs.drains else earlier
         if theirs.position[0] < ours.position[0]:
             return msgspec.structs.replace(earlier, deleted=True)
         return None
--- a/packages/node/src/sardinedoor_node/published/workerindex.py
+++ b/packages/node/src/sardinedoor_node/published/workerindex.py
@@ -10,12 +10,15 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Container
     from collections.abc import Iterable
 
     from sardinedoor_node.util import clock
 
 logger = logging.getLogger(__name__)
 
+_NO_VERSION = published.Version(published.UNKNOWN_EPOCH, 0)
+
 
 @dataclasses.dataclass(slots=True)
 class _LapsedEntry:
@@ -38,18 +41,19 @@
 
     def __init__(
         self,
-        is_configured: Callable[[str], bool],
+        configured: Callable[[], Container[str] | None],
         on_expired: Callable[[], None],
         time: clock.Clock,
     ):
         """Creates an empty index.
 
         Args:
-            is_configured: Returns whether the configuration has a service.
+            configured: Returns the services that the configuration has, None
+                without a configuration.
             on_expired: Called after a lapsed entry was dropped.
             time: Source of the monotonic time.
         """
-        self._is_configured = is_configured
+        self._configured = configured
         self._on_expired = on_expired
         self._clock = time
         self._entries: dict[str, published.WorkerEntry] = {}
@@ -58,6 +62,8 @@
         self._by_service: dict[str, list[published.WorkerEntry]] = {}
         self._newest_by_address: dict[str, published.WorkerEntry] = {}
         self._first_version: dict[str, published.Version] = {}
+        # Start times of the workers whose address a later one has taken.
+        self._replaced: dict[str, int] = {}
 
     def get(self, name: str) -> published.WorkerEntry | None:
         """Returns the entry of a worker, None if it has none."""
@@ -120,9 +126,11 @@
         entry = self._entries.pop(name, None)
         self._withdrawn.pop(name, None)
         self._first_version.pop(name, None)
+        self._replaced.pop(name, None)
         if (
             entry is not None
             and entry.accepts_requests
+            and self._newest_by_address.get(entry.address, entry) is entry
             and self._clock.monotonic() < lapses_at
         ):
             self._lapsed[name] = _LapsedEntry(entry, lapses_at)
@@ -140,6 +148,7 @@
         self._entries.pop(name, None)
         self._withdrawn.pop(name, None)
         self._lapsed.pop(name, None)
+        self._replaced.pop(name, None)
 
     def extend_lapsed(self, lapses_at: float) -> None:
         """Keeps lapsed entries until a later time, monotonic, in s."""
@@ -152,6 +161,11 @@
         found = [lapsed.entry for lapsed in self._lapsed.values()]
         found += self._entries.values()
         for entry in sorted(found, key=self._precedence):
+            if self._replaced.get(entry.name) == entry.started_ms:
+                continue
+            earlier = newest.get(entry.address)
+            if earlier is not None:
+                self._note_replaced(earlier, entry)
             newest[entry.address] = entry
         services: dict[str, list[published.WorkerEntry]] = {}
         for entry in newest.values():
@@ -160,6 +174,24 @@
         self._newest_by_address = newest
         self._by_service = services
 
+    def _note_replaced(
+        self, earlier: published.WorkerEntry, later: published.WorkerEntry
+    ) -> None:
+        """Records that a worker has ended, as another one has its address.
+
+        Start times come from the workers' clocks, so the store's order has to
+        agree before an entry is left out for good. Before there is a
+        configuration, the later entry may be of another writer.
+        """
+        if self._configured() is None and earlier.service != later.service:
+            return
+        if earlier.name in self._lapsed:
+            del self._lapsed[earlier.name]
+        elif self._first_version[earlier.name] < self._first_version.get(
+            later.name, _NO_VERSION
+        ):
+            self._replaced[earlier.name] = earlier.started_ms
+
     def _expire_lapsed(self) -> None:
         now = self._clock.monotonic()
         expired = [
@@ -172,6 +204,10 @@
             self.rebuild()
             self._on_expired()
 
+    def _is_configured(self, service: str) -> bool:
+        services = self._configured()
+        return services is None or service in services
+
     def _precedence(
         self, entry: published.WorkerEntry
     ) -> tuple[bool, int, published.Version]:
@@ -182,7 +218,5 @@
         return (
             self._is_configured(entry.service),
             entry.started_ms,
-            self._first_version.get(
-                entry.name, published.Version(published.UNKNOWN_EPOCH, 0)
-            ),
+            self._first_version.get(entry.name, _NO_VERSION),
         )
--- a/packages/standins/src/sardinedoor_standins/gossipsim.py
+++ b/packages/standins/src/sardinedoor_standins/gossipsim.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 import zlib
 
 from sardinedoor_node import metrics
@@ -20,6 +21,9 @@
 from sardinedoor_standins import textitems
 from sardinedoor_standins import virtualtime
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 _UNKNOWN = published.UNKNOWN_EPOCH
 _OUTSIDER = "10.9.9.9:7"
 # With time to spare, since the callers look only at intervals.
@@ -71,24 +75,28 @@
         """See base class."""
         return list(self.kept.values())
 
-    def merge_retained(self, items: list[wire.RetainedItem]) -> None:
-        """See base class; the higher revision of a key holds."""
-        if not self.merges:
-            return
-        for kept in items:
-            known = self.kept.get(kept.item.key)
-            if known is None or known.item.revision < kept.item.revision:
-                self.kept[kept.item.key] = kept
-
-    def apply(self, update: published.Update, origin: str) -> bool:
-        """See base class."""
+    def apply(
+        self,
+        update: published.Update,
+        origin: str,
+        kept: Sequence[wire.RetainedItem] = (),
+    ) -> bool:
+        """See base class; of two retained items the higher revision holds."""
         if not self.takes_updates:
             return False
         # Listeners are told of an update once all of it is in place.
         if update.epoch > self.version.epoch != _UNKNOWN:
             self.kept.update(self.kept_on_restore)
+        if self.merges and update.epoch >= self.version.epoch:
+            for item in kept:
+                self._take(item)
         return super().apply(update, origin)
 
+    def _take(self, kept: wire.RetainedItem) -> None:
+        known = self.kept.get(kept.item.key)
+        if known is None or known.item.revision < kept.item.revision:
+            self.kept[kept.item.key] = kept
+
 
 class Node:
     """A simulated node.
