--- a/packages/node/src/sardinedoor_node/published/antientropy.py
+++ b/packages/node/src/sardinedoor_node/published/antientropy.py
@@ -311,10 +311,10 @@
                 self._send_changes(channel, digest, theirs)
                 self.request_digest(channel)
             return
-        is_confirmed = self._check.confirm(theirs.epoch, digest.retained)
         if theirs > own:
+            # A stale read may lack what the peer has.
             self._pull(channel, theirs)
-        elif not is_confirmed:
+        elif not self._check.confirm(theirs.epoch, digest.retained):
             self._retained.pull(channel, digest.retained)
 
     def _pull_if_overdue(self) -> None:
--- a/tests/test_published/test_published_peercheck.py
+++ b/tests/test_published/test_published_peercheck.py
@@ -50,6 +50,13 @@
                 self.assertLess(taken_s, 2 * _ROUND_TRIP_S, domains)
                 self.assertEqual(["x"], node.kept)
 
+    def test_peer_that_is_ahead_confirms_the_copy_only_with_its_items(self):
+        """What the copy lacks was written again, so the peer retains nothing."""
+        self.nodes.start("aa", (1, 12))
+        node = self._start_waiting("a", (1, 9))
+        self.nodes.run_until_used(node)
+        self.assertEqual(12, node.replica.revision)
+
     def test_peer_of_an_older_epoch_gets_the_copy_and_then_confirms_it(self):
         """It hasn't learned of the restore, and has what the copy lacks."""
         for domains in ("aa", "bb"):
