--- a/packages/node/src/sardinedoor_node/published/itemtransfer.py
+++ b/packages/node/src/sardinedoor_node/published/itemtransfer.py
@@ -71,6 +71,7 @@
             items,
             update.epoch,
             self._retained(inflates) if differs else [],
+            0 if update.is_snapshot else version.revision,
         )
 
     def make_retained(self, inflates: bool) -> wire.Items:
@@ -84,6 +85,7 @@
             version.revision,
             self.contact_ms(),
             epoch=version.epoch,
+            since=version.revision,
             retained=self._retained(inflates),
         )
 
@@ -110,6 +112,10 @@
         if is_unplaced(update.version, self._catalog.version):
             self._record_unplaced(message)
             return False
+        if not message.whole and message.since > self._catalog.revision:
+            # They answer an earlier process of this node, and leave a gap.
+            self._metrics.event("items_with_gap")
+            return False
         try:
             update.items = [_inflate(item) for item in message.items]
             retained = [
