--- a/packages/node/src/sardinedoor_node/published/catalog.py
+++ b/packages/node/src/sardinedoor_node/published/catalog.py
@@ -5,13 +5,12 @@
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from sardinedoor_node import published
 from sardinedoor_node.published import contact
 from sardinedoor_node.published import inforce
 from sardinedoor_node.published import itemtable
 from sardinedoor_node.published import refusals
+from sardinedoor_node.published import restoring
 from sardinedoor_node.published import retained
 from sardinedoor_node.published import workerindex
 from sardinedoor_node.util import listeners
@@ -196,9 +195,10 @@
         Returns:
             True if any item changed.
         """
-        if not self._is_newer(update):
+        if not self._table.precedes(update):
             if update.is_snapshot:
-                self._record_older(update, origin)
+                self._metrics.event("older_snapshot_ignored")
+                restoring.log_older(update, self.version, origin)
             if update.epoch == self.epoch:
                 self._merge_retained(kept)
             return False
@@ -208,7 +208,7 @@
             )
         if update.epoch != self.epoch:
             self._first_revision = update.revision
-        if self._goes_back(update):
+        if self._table.is_replaced_by(update):
             applied = self._restore(update, origin)
         else:
             applied = self._advance(update)
@@ -229,25 +229,21 @@
             self._listeners.notify()
         return bool(applied)
 
-    def _is_newer(self, update: published.Update) -> bool:
-        if update.epoch == self.epoch:
-            return update.revision > self.revision or (
-                update.revision == self.revision and update.is_snapshot
-            )
-        if self.revision == 0:
-            return True
-        # Changes say nothing about the rest of a later epoch's items.
-        return update.epoch > self.epoch and update.is_snapshot
+    def retained_items(self) -> list[wire.RetainedItem]:
+        """Lists the items that are in force instead of those of the store."""
+        return self._retained.all()
 
-    def _goes_back(self, update: published.Update) -> bool:
-        """Returns whether the own items can't be compared with an update.
+    def admit(self, reason: str) -> None:
+        """Puts a configuration that came from the store alone in force.
 
-        A replica that was filled by nodes that don't know epochs has revisions
-        of the store's present epoch, unless they are greater.
+        Args:
+            reason: Why, for the log.
         """
-        if self.epoch == published.UNKNOWN_EPOCH:
-            return update.revision < self.revision
-        return update.epoch != self.epoch
+        if not self.awaits_peers:
+            return
+        self.awaits_peers = False
+        logger.info("content of the store admitted", extra={"reason": reason})
+        self._listeners.notify()
 
     def _advance(self, update: published.Update) -> list[wire.Item]:
         """Applies an update of the present epoch.
@@ -271,16 +267,18 @@
             The items that changed.
         """
         previous = self.version
-        in_force = self._items_in_force()
-        again = {kept.item.key for kept in self._retained.all()}
+        in_force = restoring.items_in_force(
+            self._table, self._retained, self._workers, self._decoder
+        )
+        reinterpreted = {kept.item.key for kept in self._retained.all()}
         changed = self._table.replace(update)
         # Workers write what was lost again, as after an outage.
         self._contact.returned()
         self._workers.extend_lapsed(self._contact.lapses_at)
         self._retained.begin_epoch(self._table.all(), in_force)
-        again.update(kept.item.key for kept in self._retained.all())
-        again.difference_update(item.key for item in changed)
-        changed += filter(None, map(self._table.get, again))
+        reinterpreted.update(kept.item.key for kept in self._retained.all())
+        reinterpreted.difference_update(item.key for item in changed)
+        changed += filter(None, map(self._table.get, reinterpreted))
         for item in changed:
             kept = self._retained.get(item.key)
             if item.key in in_force and (kept or item).deleted:
@@ -289,16 +287,7 @@
                 self._decode(item)
         self._retain_configuration()
         self._metrics.event("store_restored")
-        logger.warning(
-            "store restored",
-            extra={
-                "origin": origin,
-                "epoch": self.epoch,
-                "revision": self.revision,
-                "previous_epoch": previous.epoch,
-                "previous_revision": previous.revision,
-            },
-        )
+        restoring.log_restored(self.version, previous, origin)
         return changed
 
     def _drop(self, item: wire.Item) -> None:
@@ -317,30 +306,6 @@
         else:
             self._remove_worker(name)
 
-    def _items_in_force(self) -> dict[str, wire.Item]:
-        """Returns the items that are in force by key.
-
-        The entries of workers whose address another one has taken are marked as
-        deleted. Those that were missing from the last copy aren't, as long as
-        their workers may still write again.
-        """
-        found = {item.key: item for item in self._table.all()}
-        for kept in self._retained.all():
-            found[kept.item.key] = kept.item
-        for item in self._retained.missing():
-            name = self._decoder.worker_name(item.key)
-            if name is not None and self._workers.is_lapsed(name):
-                found[item.key] = item
-        for key, item in found.items():
-            name = self._decoder.worker_name(key)
-            if name is not None and self._workers.is_replaced(name):
-                found[key] = msgspec.structs.replace(item, deleted=True)
-        return found
-
-    def retained_items(self) -> list[wire.RetainedItem]:
-        """Lists the items that are in force instead of those of the store."""
-        return self._retained.all()
-
     def _merge_retained(self, items: Sequence[wire.RetainedItem]) -> None:
         merged = [self._merge(kept) for kept in items]
         if any(merged):
@@ -366,18 +331,6 @@
         self._decode(own)
         return True
 
-    def admit(self, reason: str) -> None:
-        """Puts a configuration that came from the store alone in force.
-
-        Args:
-            reason: Why, for the log.
-        """
-        if not self.awaits_peers:
-            return
-        self.awaits_peers = False
-        logger.info("content of the store admitted", extra={"reason": reason})
-        self._listeners.notify()
-
     def _apply_item(self, item: wire.Item) -> bool:
         replaced = self._retained.get(item.key) or self._table.get(item.key)
         if not self._table.put(item):
@@ -443,16 +396,3 @@
             self._retained.discard(in_force.key)
         elif self._retained.get(in_force.key) is not in_force:
             self._retained.put(in_force, stored.revision if stored else 0)
-
-    def _record_older(self, update: published.Update, origin: str) -> None:
-        self._metrics.event("older_snapshot_ignored")
-        logger.warning(
-            "snapshot is older than the replica, ignored",
-            extra={
-                "origin": origin,
-                "epoch": update.epoch,
-                "revision": update.revision,
-                "own_epoch": self.epoch,
-                "own_revision": self.revision,
-            },
-        )
--- a/packages/node/src/sardinedoor_node/published/itemtable.py
+++ b/packages/node/src/sardinedoor_node/published/itemtable.py
@@ -46,6 +46,27 @@
         """Lists all items."""
         return self._items.values()
 
+    def precedes(self, update: published.Update) -> bool:
+        """Returns whether an update brings the table to a later version."""
+        if update.epoch == self.epoch:
+            return update.revision > self.revision or (
+                update.revision == self.revision and update.is_snapshot
+            )
+        if self.revision == 0:
+            return True
+        # Changes say nothing about the rest of a later epoch's items.
+        return update.epoch > self.epoch and update.is_snapshot
+
+    def is_replaced_by(self, update: published.Update) -> bool:
+        """Returns whether revisions can't be compared with those of an update.
+
+        A table that was filled by nodes that don't know epochs has revisions
+        of the store's present epoch, unless they are greater.
+        """
+        if self.epoch == published.UNKNOWN_EPOCH:
+            return update.revision < self.revision
+        return update.epoch != self.epoch
+
     def put(self, item: wire.Item) -> bool:
         """Writes or deletes an item unless it is already known.
 
