--- a/tests/test_published/test_published_restore.py
+++ b/tests/test_published/test_published_restore.py
@@ -427,6 +427,48 @@
         self.replica.apply(update, "peer", [kept])
         self.assertEqual(["one"], self._names())
 
+    def test_grace_begins_anew_with_the_next_restore(self):
+        """The worker had not had the time to write again."""
+        first, second = _worker(3, "one"), _worker(10, "two", _TWO)
+        self._snapshot(1, 10, first, second)
+        self._snapshot(2, 5, first)
+        self.clock.now_s += contact.LAPSE_GRACE_S - 0.3
+        self._snapshot(3, 5, first)
+        self.clock.now_s += contact.LAPSE_GRACE_S - 0.3
+        self.assertEqual(["one", "two"], self._names())
+
+    def test_replaced_worker_is_not_used_when_the_copy_lacks_the_later_one(
+        self,
+    ):
+        """The copy has an earlier entry of it, and so no order to the later."""
+        old = _worker(3, "old", sequence=1)
+        self._snapshot(1, 10, old)
+        self._change(1, _worker(11, "old", sequence=2))
+        self._change(1, _worker(12, "new", started_ms=9))
+        self._snapshot(2, 10, old)
+        self.assertEqual(["new"], self._names())
+        # Nodes that start are told of it.
+        (kept,) = self.replica.retained_items()
+        self.assertTrue(kept.item.deleted)
+        self._end_grace()
+        self.assertEqual([], self._names())
+
+    def test_item_retained_against_an_earlier_revision_is_not_taken(self):
+        """A peer's snapshot of the epoch was older than the worker's write."""
+        self._snapshot(2, 8, _worker(8, "one", sequence=1))
+        kept = wire.RetainedItem(
+            _worker(3, "one", sequence=5, state="draining"), 3
+        )
+        self.replica.apply(published.Update(6, [], epoch=2), "peer", [kept])
+        self.assertEqual(["one"], self._names())
+
+    def test_same_version_written_in_another_form_ends_the_retention(self):
+        self._snapshot(1, 10, wire.Item("c", 9, b"5"))
+        self._snapshot(2, 5, wire.Item("c", 2, b"4"))
+        self.assertNotEqual(0, self.replica.retained_checksum)
+        self._change(2, wire.Item("c", 8, b"05"))
+        self.assertEqual(0, self.replica.retained_checksum)
+
     def test_node_of_a_worker_that_the_copy_lacks_stays_a_peer(self):
         """All nodes read the store while all entries were missing."""
         directory = fleet.PublishedDirectory(
